standin, config: that readers notice refusals is checked in virtual time

Readers ask at least each second, so a process that gets the processor notices; with reads that take their whole timeout two questions lie up to 2.5 s apart, and a starved process can miss the 4 s. No run has shown the starvation itself, so that part stays unproved.

--- a/core/config/machine_test.go
+++ b/core/config/machine_test.go
@@ -85,3 +85,36 @@
 		t.Fatalf("%v beside readers that cannot read", m.Role())
 	}
 }
+
+// absenceSeen tells whether a VM notices that the platform refuses all calls for d.
+func absenceSeen(seed uint64, d time.Duration) bool {
+	s := newSim(seed, 5)
+	s.loss, s.fetchLoss = 0.2, 0.1
+	s.maxDelay = 400 * time.Millisecond
+	s.p.publish(map[string]json.RawMessage{"domains": domains("in")})
+	for _, v := range s.vms {
+		s.restart(v)
+	}
+	s.advance(10*time.Second + time.Duration(s.rand.Int64N(int64(5*time.Second))))
+	lost := 0
+	s.onEffect = func(_ *simVM, e Effect) {
+		if e.Kind == PlatformLost {
+			lost++
+		}
+	}
+	for _, v := range s.vms {
+		v.view = refusing
+	}
+	s.advance(d)
+	return lost > 0
+}
+
+// Guards against readers that take no notice of a platform that refuses for 4 s: each
+// one asks at least every second, and calls a platform lost after 1.5 s.
+func TestReadersNoticeRefusals(t *testing.T) {
+	for seed := range uint64(200) {
+		if !absenceSeen(seed, 4*time.Second) {
+			t.Errorf("seed %d: no VM noticed 4 s of refusals", seed)
+		}
+	}
+}
