lease, roster: a fleet that starts together ends its start-up wait early

Change: a heartbeat to a new instance says that the sender had claimed no shard before it first heard it. When each member of a settled list has echoed a young process and said so, no lease can hold a grant of the process before, and the wait ends. Young VMs answer the first heartbeats of each other at once, and ask a seed sooner when a VM that is not on the list sends one. Peers that were heard later are not eligible before their own wait is over.

--- a/core/contact/contact_test.go
+++ b/core/contact/contact_test.go
@@ -180,3 +180,53 @@
 		t.Errorf("the platform response satisfies the rule until %v, want %v", s.Deadline(start), end)
 	}
 }
+
+// Guards against holders that give up shards for a VM that started later and still
+// waits: only peers heard before the wait ended early count as ready with this VM.
+func TestEligibleTogether(t *testing.T) {
+	a, b := newState(0, 100, 2), newState(1, 200, 2)
+	receive(t, b, next(a, start), start, Accepted)
+	h := next(b, start)
+	h.Unclaimed = true
+	heard := start.Add(50 * time.Millisecond)
+	receive(t, a, h, heard, Accepted)
+	wait := time.Second
+	for _, c := range []struct {
+		together time.Time
+		eligible bool
+	}{
+		{time.Time{}, false},
+		{heard.Add(-time.Millisecond), false},
+		{heard, true},
+	} {
+		standing := a.Standings(heard, wait, c.together)[1]
+		if !standing.Unclaimed || standing.Eligible != c.eligible {
+			t.Errorf("together at %v: %+v, want eligible %v", c.together, standing, c.eligible)
+		}
+	}
+}
+
+// Guards against the word of a former process that is taken for that of its successor,
+// and against one that came with a datagram for an earlier process of this VM.
+func TestUnclaimedIsTiedToInstances(t *testing.T) {
+	a, b := newState(0, 100, 2), newState(1, 200, 2)
+	receive(t, b, next(a, start), start, Accepted)
+	h := next(b, start)
+	h.Unclaimed = true
+	restarted := newState(0, 101, 2)
+	receive(t, restarted, h, start, Accepted)
+	if restarted.Peers()[0].Unclaimed {
+		t.Error("a datagram for the former process counts")
+	}
+	receive(t, a, h, start, Accepted)
+	if !a.Peers()[0].Unclaimed {
+		t.Fatal("the word of the peer does not count")
+	}
+	successor := newState(1, 201, 2)
+	receive(t, a, next(successor, start), start, Unproven)
+	receive(t, successor, next(a, start), start, Accepted)
+	receive(t, a, next(successor, start), start, Accepted)
+	if a.Peers()[0].Unclaimed {
+		t.Error("the word of the former process counts for its successor")
+	}
+}
--- a/core/contact/heartbeat.go
+++ b/core/contact/heartbeat.go
@@ -78,6 +78,9 @@
 	// Granted holds the shards granted to the destination for its datagram
 	// number Echo.
 	Granted member.ShardSet
+	// Unclaimed is true when the sender had claimed no shard before it first heard the
+	// destination's instance: no earlier instance there granted it any.
+	Unclaimed bool
 	// Marks holds recent poison marks of the sender.
 	Marks []PoisonMark
 }
--- a/core/contact/peer.go
+++ b/core/contact/peer.go
@@ -32,6 +32,9 @@
 	// Active is true once the instance has claimed or granted a shard, which
 	// it does only after its start-up wait.
 	Active bool
+	// Unclaimed is true once the instance has said that it claimed no shard before it
+	// first heard this process.
+	Unclaimed bool
 	// Echoed is the newest own datagram that the instance has echoed.
 	Echoed Sent
 	// Leaving is what its last heartbeat said.
@@ -133,6 +136,7 @@
 	p.Instance = instance
 	p.Since = now
 	p.Active = false
+	p.Unclaimed = false
 	p.Leaving = false
 	p.ListVersion = 0
 	p.Ticket = 0
--- a/core/contact/rule.go
+++ b/core/contact/rule.go
@@ -12,24 +12,28 @@
 	// Eligible is true for a member in contact that is not leaving and past its
 	// start-up wait. It is true for this VM.
 	Eligible bool
+	// Unclaimed is true for a member whose process cannot hold a grant of an earlier
+	// process of this VM. It is true for this VM.
+	Unclaimed bool
 }
 
 // Standings returns the standing of each member in list order. A peer counts
 // as past its start-up wait once it claims or grants, or wait after its
-// instance was first heard.
-func (s *State) Standings(now time.Time, wait time.Duration) []Standing {
+// instance was first heard. Together is when this VM ended its own wait early because
+// all members started together, zero for never: a peer heard by then did so too.
+func (s *State) Standings(now time.Time, wait time.Duration, together time.Time) []Standing {
 	out := make([]Standing, 0, s.list.Len())
 	next := 0
 	for i := 0; i < s.list.Len(); i++ {
 		if s.list.VMs[i].ID == s.self {
-			out = append(out, Standing{InContact: true, Eligible: true})
+			out = append(out, Standing{InContact: true, Eligible: true, Unclaimed: true})
 			continue
 		}
 		p := s.peers[next]
 		next++
 		in := p.InContact(now)
-		ready := p.Active || now.Sub(p.Since) >= wait
-		out = append(out, Standing{InContact: in, Eligible: in && ready && !p.IsLeaving()})
+		ready := p.Active || now.Sub(p.Since) >= wait || p.Unclaimed && !p.Since.After(together)
+		out = append(out, Standing{InContact: in, Eligible: in && ready && !p.IsLeaving(), Unclaimed: in && p.Unclaimed})
 	}
 	return out
 }
--- a/core/contact/state.go
+++ b/core/contact/state.go
@@ -32,6 +32,8 @@
 	Peer *Peer
 	// Echoed is the own datagram that the heartbeat echoes.
 	Echoed Sent
+	// WasInContact tells whether the sender's instance was in contact before.
+	WasInContact bool
 	// HasEcho is false when the heartbeat echoes no known datagram of this
 	// instance. Echoed and the heartbeat's grants count only when it is true.
 	HasEcho bool
@@ -159,10 +161,10 @@
 	if h.Seq <= p.received {
 		return Receipt{}, Stale
 	}
+	r := Receipt{Peer: p, WasInContact: p.InContact(now)}
 	p.received = h.Seq
 	p.candidate.newest = false
 	s.note(p, h)
-	r := Receipt{Peer: p}
 	if h.EchoInstance == uint32(s.instance) {
 		r.Echoed, r.HasEcho = p.sentBy(h.Echo)
 	}
@@ -192,6 +194,7 @@
 	if echoed.Seq > p.Echoed.Seq {
 		p.Echoed = echoed
 	}
+	p.Unclaimed = p.Unclaimed || h.Unclaimed
 	if h.PlatformAge < PlatformAgeMax {
 		s.PlatformSeen(echoed.At.Add(-h.PlatformAge))
 	}
--- a/core/lease/agent.go
+++ b/core/lease/agent.go
@@ -8,6 +8,10 @@
 	"github.com/galenasail/galenasail/core/member"
 )
 
+// unclaimedFor is how long heartbeats tell a new instance that this process had claimed
+// nothing before: longer than any wait after a start.
+const unclaimedFor = 4 * time.Second
+
 // Agent is the membership of one VM: it drives contact and lease state by
 // heartbeats and says which peers to send one to.
 type Agent struct {
@@ -48,7 +52,7 @@
 // peers every contact.Interval, when all is true and when the claims change,
 // so that a shard changes hands in one round trip; else those with a new grant.
 func (a *Agent) Wake(now time.Time, all bool) []*contact.Peer {
-	fresh := a.Lease.Update(a.Contact.Standings(now, a.cfg.Wait), now)
+	fresh := a.Lease.Update(a.Contact.Standings(now, a.cfg.Wait, a.Lease.together), now)
 	claims, _ := a.Lease.Claims(now)
 	changed := claims != a.claims
 	a.claims = claims
@@ -66,7 +70,7 @@
 
 // timing returns how often the peer gets heartbeats.
 func (a *Agent) timing(p *contact.Peer) Timing {
-	if a.claims.Len() > 0 || a.Lease.mayHold(p.VM.ID) || a.Lease.mayHold(a.Lease.id) {
+	if a.Lease.newborn || a.claims.Len() > 0 || a.Lease.mayHold(p.VM.ID) || a.Lease.mayHold(a.Lease.id) {
 		return a.cfg.Near
 	}
 	return a.cfg.Far
@@ -79,30 +83,34 @@
 	h.Claims, h.Held = a.Lease.Claims(now)
 	h.Granted = a.Lease.GrantsTo(p.VM.ID, h.EchoInstance, now)
 	h.Leaving = a.Lease.leaving
+	known := h.EchoInstance == uint32(p.Instance) && p.Instance != 0
+	h.Unclaimed = known && now.Sub(p.Since) < unclaimedFor && a.Lease.unclaimedBefore(p.Since)
 	return h
 }
 
 // Receive takes in a heartbeat. It returns its sender, and the peers with a new
 // grant to send a heartbeat to now. The sender is nil for a heartbeat that was
 // not accepted.
-func (a *Agent) Receive(h *contact.Heartbeat, now time.Time) (from *contact.Peer, reply []*contact.Peer) {
+func (a *Agent) Receive(h *contact.Heartbeat, now time.Time) (from *contact.Peer, reply []*contact.Peer, verdict contact.Verdict) {
 	r, verdict := a.Contact.Receive(h, now)
 	if verdict != contact.Accepted {
-		return nil, nil
+		return nil, nil, verdict
 	}
 	from = r.Peer
 	unproven := h.Claims.Len() > 0 && !from.InContact(now)
+	met := a.Lease.newborn && !r.WasInContact
 	claim := Claim{ID: from.VM.ID, Instance: h.Instance, Claims: h.Claims, Held: h.Held}
 	fresh := a.Lease.Receive(claim, from.InContact(now), now)
 	if r.HasEcho {
 		grant := Grant{ID: claim.ID, Shards: h.Granted, SentAt: r.Echoed.At, Epoch: r.Echoed.Mark}
 		a.Lease.Granted(grant, now)
 	}
-	if unproven && !slices.Contains(fresh, from.VM.ID) {
-		// The claimant has to echo a recent heartbeat before it gets a grant.
+	if (unproven || met) && !slices.Contains(fresh, from.VM.ID) {
+		// A claimant has to echo a recent heartbeat before it gets a grant, and VMs that
+		// start together wait for each other's echoes.
 		fresh = append(fresh, from.VM.ID)
 	}
-	return from, a.find(fresh)
+	return from, a.find(fresh), verdict
 }
 
 func (a *Agent) find(ids []string) []*contact.Peer {
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -78,8 +78,12 @@
 			s.own[shard] = &ownClaim{since: s.epoch + 1, epoch: s.epoch + 1, ends: map[string]time.Time{}}
 		}
 	}
-	if added {
-		s.epoch++
+	if !added {
+		return
+	}
+	s.epoch++
+	if s.claimedAt.IsZero() {
+		s.claimedAt = now
 	}
 }
 
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -302,30 +302,32 @@
 	t.Fatal("without the wait no run had two exclusive holders")
 }
 
+// listOfLive returns a list of the first n VMs.
+func listOfLive(n int) *member.List {
+	l := &member.List{Version: uint64(n)}
+	for i := range n {
+		l.VMs = append(l.VMs, member.VM{ID: fmt.Sprintf("vm-%02d", i), State: member.Live})
+	}
+	return l
+}
+
 // Guards against a fleet that gives up all its leases at each change of the list within
 // 10 s after its start: the lists of its first second count as very different (seen
 // on 89 VMs that were killed together and then stopped and started in turn).
 func TestListChangeAfterAStartKeepsLeases(t *testing.T) {
 	start := time.Unix(1000, 0)
 	s := New("vm-00", 1, start, Config{Elastic: true, Seats: 2, Term: time.Second})
-	list := func(n int) *member.List {
-		l := &member.List{Version: uint64(n)}
-		for i := range n {
-			l.VMs = append(l.VMs, member.VM{ID: fmt.Sprintf("vm-%02d", i), State: member.Live})
-		}
-		return l
-	}
 	now := start
 	for n := 1; n <= 12; n++ {
 		now = now.Add(50 * time.Millisecond)
-		s.SetList(list(n), now)
+		s.SetList(listOfLive(n), now)
 	}
 	standings := make([]contact.Standing, 12)
 	standings[0] = contact.Standing{InContact: true, Eligible: true}
 	now = now.Add(3 * time.Second)
 	s.Update(standings, now)
 	before, _ := s.Claims(now)
-	changed := list(12)
+	changed := listOfLive(12)
 	changed.VMs[5].State = member.Leaving
 	s.SetList(changed, now)
 	s.Update(standings, now)
@@ -344,11 +346,7 @@
 	now := start
 	for n := 1; n <= 12; n++ {
 		now = now.Add(120 * time.Millisecond)
-		l := &member.List{Version: uint64(n)}
-		for i := range n {
-			l.VMs = append(l.VMs, member.VM{ID: fmt.Sprintf("vm-%02d", i), State: member.Live})
-		}
-		s.SetList(l, now)
+		s.SetList(listOfLive(n), now)
 		standings := make([]contact.Standing, n)
 		standings[0] = contact.Standing{InContact: true, Eligible: true}
 		s.Update(standings, now)
--- /dev/null
+++ b/core/lease/restart_test.go
@@ -0,0 +1,139 @@
+package lease
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/galenasail/galenasail/core/contact"
+)
+
+// restartAll ends all nodes at once and starts them again within 300 ms. It returns how
+// long it took from the last start until every shard had a holder.
+func restartAll(seed uint64, nodes int, loss float64) time.Duration {
+	s := newSim(seed, nodes, 0, defects{config: seated})
+	s.delay, s.loss = 5*time.Millisecond, loss
+	for i := range s.nodes {
+		s.nodes[i].up = false
+		s.nodes[i].restart = s.now + time.Second + time.Duration(s.rng.Int64N(int64(300*time.Millisecond)))
+	}
+	s.run(1300 * time.Millisecond)
+	started := s.now
+	for s.now < started+10*time.Second && !s.covered() {
+		s.step()
+	}
+	return s.now - started
+}
+
+// Guards against a fleet that lost power and then waits for grants which nobody can
+// hold: each process waited one grant memory (0.94 s) after its start.
+func TestFleetThatStartsTogetherWaitsBriefly(t *testing.T) {
+	for seed := range uint64(20) {
+		if took := restartAll(seed, 24, 0); took > seated.withDefaults().Wait/2 {
+			t.Errorf("seed %d: no holders until %v after the last start", seed, took)
+		}
+	}
+}
+
+// Guards against lost heartbeats that make such a fleet wait longer than one grant
+// memory and the next heartbeats.
+func TestFleetThatStartsTogetherBearsLoss(t *testing.T) {
+	bound := seated.withDefaults().Wait + 2*seated.Near.Interval
+	for seed := range uint64(20) {
+		if took := restartAll(seed, 24, 0.05); took > bound {
+			t.Errorf("seed %d: no holders until %v after the last start", seed, took)
+		}
+	}
+}
+
+// restartBetweenHolders cuts two nodes off from a holder, so that they make another one,
+// and restarts a node that reaches both holders. It returns the first broken check.
+func restartBetweenHolders(seed uint64, d defects) string {
+	const nodes = 7
+	s := newSim(seed, nodes, 0, d)
+	held, _ := s.holders(0)
+	if len(held) != 1 {
+		return ""
+	}
+	holder := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.id == held[0] })
+	others := s.rng.Perm(nodes)
+	others = slices.DeleteFunc(others, func(i int) bool { return i == holder })
+	s.inject(fault{Kind: "link", Node: holder, Mask: others[0], For: 10 * time.Second}, nodes)
+	s.inject(fault{Kind: "link", Node: holder, Mask: others[1], For: 10 * time.Second}, nodes)
+	s.run(3 * time.Second)
+	for _, i := range others[2:] {
+		s.start(i)
+		s.run(1500 * time.Millisecond)
+	}
+	return s.found
+}
+
+// Guards against a VM that restarts between two holders and lends the same share to
+// both: the one that its former process knew, and the other one. Without the word of
+// each member that it holds nothing, this must show.
+func TestRestartBetweenHolders(t *testing.T) {
+	caught := 0
+	for seed := range uint64(2 * defectRuns) {
+		if v := restartBetweenHolders(seed, defects{config: seated}); v != "" {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		if restartBetweenHolders(seed, defects{config: seated, allUnclaimed: true}) != "" {
+			caught++
+		}
+	}
+	if caught == 0 {
+		t.Errorf("a wait that ends beside holders broke no check in %d runs", 2*defectRuns)
+	}
+	t.Logf("the defect shows in %d of %d runs", caught, 2*defectRuns)
+}
+
+// Guards against a VM that restarts alone and grants at once what its former process
+// granted to a VM that still holds it.
+func TestLoneRestartWaitsOutTheGrantMemory(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, 8, 0, defects{config: seated})
+		s.start(3)
+		restarted := s.now
+		a := s.nodes[3].agent
+		for s.now < restarted+900*time.Millisecond {
+			s.step()
+			if now := s.clock(s.nodes[3], s.now); !a.Lease.Waiting(now) {
+				t.Fatalf("seed %d: the wait ended %v after the start", seed, s.now-restarted)
+			}
+		}
+	}
+}
+
+// Guards against a wait that ends early while one member may hold a grant of an earlier
+// process, or while the list still grows.
+func TestStartWaitNeedsAllMembers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start.Add(settleTime)
+	all := func() []contact.Standing {
+		out := make([]contact.Standing, 6)
+		for i := range out {
+			out[i] = contact.Standing{InContact: true, Unclaimed: true}
+		}
+		return out
+	}
+	young := func() *State {
+		s := New("vm-00", 1, start, seated)
+		s.SetList(listOfLive(6), start)
+		return s
+	}
+	s := young()
+	if s.Update(all(), now); s.Waiting(now) {
+		t.Error("still waiting beside members that claimed nothing")
+	}
+	s = young()
+	standings := all()
+	standings[4].Unclaimed = false
+	if s.Update(standings, now); !s.Waiting(now) {
+		t.Error("the wait ended beside a member that may hold a grant")
+	}
+	s = young()
+	s.SetList(listOfLive(7), now)
+	if s.Update(append(all(), contact.Standing{InContact: true, Unclaimed: true}), now); !s.Waiting(now) {
+		t.Error("the wait ended while the list grows")
+	}
+}
--- a/core/lease/sim_test.go
+++ b/core/lease/sim_test.go
@@ -26,6 +26,7 @@
 	anyOrder     bool // stale datagrams reach the grant memory
 	staleReader  bool // readers use the time of the last tick
 	neverRelease bool // heartbeats keep claims that were given up, as held
+	allUnclaimed bool // each heartbeat says that its sender has claimed nothing
 }
 
 type packet struct {
@@ -144,6 +145,7 @@
 			}
 			h.Claims, h.Held = n.ever, n.ever
 		}
+		h.Unclaimed = h.Unclaimed || s.defects.allUnclaimed
 		to := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.id == p.VM.ID })
 		s.transmit(packet{from: i, to: to, h: h})
 		if s.rng.Float64() < 0.02 {
@@ -166,7 +168,7 @@
 func (s *sim) receive(p packet) {
 	n := s.nodes[p.to]
 	now := s.clock(n, s.now)
-	from, reply := n.agent.Receive(&p.h, now)
+	from, reply, _ := n.agent.Receive(&p.h, now)
 	if from == nil && s.defects.anyOrder {
 		n.agent.Lease.Receive(Claim{ID: s.nodes[p.from].id, Instance: p.h.Instance, Claims: p.h.Claims}, true, now)
 	}
--- a/core/lease/state.go
+++ b/core/lease/state.go
@@ -28,6 +28,10 @@
 	removed   map[string]time.Time
 	started   time.Time
 	waitUntil time.Time
+	settled   time.Time // when the list of a young process counts as complete
+	newborn   bool      // until the wait after the start is over
+	together  time.Time // when the wait ended early with those of all members; zero for not
+	claimedAt time.Time // first claim of this process; zero for none
 	leaving   bool
 	grants    [member.ShardCount]grant
 	claimants []*claimant
@@ -49,6 +53,7 @@
 		removed:   map[string]time.Time{},
 		started:   now,
 		waitUntil: now.Add(cfg.Wait),
+		newborn:   true,
 	}
 }
 
@@ -59,6 +64,7 @@
 func (s *State) SetList(l *member.List, now time.Time) {
 	s.awaitGrowth(l, now)
 	if !s.cfg.Elastic && s.differsTooMuch(l, now) {
+		s.newborn = false
 		s.waitUntil = now.Add(s.cfg.Wait)
 		s.dropAll()
 	}
@@ -93,9 +99,37 @@
 
 func (s *State) awaitGrowth(l *member.List, now time.Time) {
 	young := now.Sub(s.started) < 2*s.cfg.Wait
-	if s.cfg.Elastic && young && l.Len() > s.list.Len() && s.waitUntil.Before(now.Add(settleTime)) {
-		s.waitUntil = now.Add(settleTime)
+	if !young || l.Len() <= s.list.Len() {
+		return
 	}
+	s.settled = now.Add(settleTime)
+	if s.cfg.Elastic && s.waitUntil.Before(s.settled) {
+		s.waitUntil = s.settled
+	}
+}
+
+// endStartWait ends the wait after the start early when no member of a settled list
+// can hold a grant of an earlier process of this VM. It answers the return of a whole
+// fleet after a loss of power: nobody holds a shard then, and requests wait for one.
+func (s *State) endStartWait(standings []contact.Standing, now time.Time) {
+	if !s.Waiting(now) {
+		s.newborn = false
+	}
+	if !s.newborn || now.Before(s.settled) || !s.listed() || s.list.Len() < 2 {
+		return
+	}
+	for _, member := range standings {
+		if !member.Unclaimed {
+			return
+		}
+	}
+	s.newborn, s.together = false, now
+	s.waitUntil = now
+}
+
+// unclaimedBefore tells whether this process had claimed no shard at the given time.
+func (s *State) unclaimedBefore(at time.Time) bool {
+	return s.claimedAt.IsZero() || !s.claimedAt.Before(at)
 }
 
 func (s *State) differsTooMuch(l *member.List, now time.Time) bool {
@@ -201,6 +235,7 @@
 // their grants as over. It claims again after one grant memory.
 func (s *State) Suspended(now time.Time) {
 	s.dropAll()
+	s.newborn = false
 	s.waitUntil = now.Add(s.cfg.Wait)
 }
 
@@ -223,6 +258,7 @@
 			s.reachable++
 		}
 	}
+	s.endStartWait(standings, now)
 	s.chooseClaims(standings, now)
 	s.refreshMembers(now)
 	fresh := make([]bool, len(s.claimants))
--- a/node/cell/cell.go
+++ b/node/cell/cell.go
@@ -66,6 +66,9 @@
 	// Heard is called at each accepted heartbeat. It must not block. Default:
 	// none.
 	Heard func(News)
+	// Stranger is called at each heartbeat of a VM outside the list. It must not block.
+	// Default: none.
+	Stranger func()
 	// Lease sets the durations of leases. Default: those of package lease.
 	Lease lease.Config
 	// ServeAlone lets a VM accept work without contact: its shares bound it.
@@ -114,6 +117,9 @@
 	if cfg.Heard == nil {
 		cfg.Heard = func(News) {}
 	}
+	if cfg.Stranger == nil {
+		cfg.Stranger = func() {}
+	}
 	c := &Cell{cfg: cfg, base: time.Now(), stop: make(chan struct{})}
 	c.deadline.Store(never)
 	c.platform.Store(never)
--- a/node/cell/runtime.go
+++ b/node/cell/runtime.go
@@ -154,7 +154,10 @@
 }
 
 func (r *runtime) receive(h *contact.Heartbeat, now time.Time) {
-	p, reply := r.agent.Receive(h, now)
+	p, reply, verdict := r.agent.Receive(h, now)
+	if verdict == contact.UnknownSender {
+		r.cell.cfg.Stranger()
+	}
 	if p == nil {
 		return
 	}
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -54,6 +54,7 @@
 		Transport:  d.transport(),
 		Load:       func() int { return int(d.handler.Running()) },
 		Heard:      d.heard,
+		Stranger:   d.heardStranger,
 		Lease:      d.leaseConfig(),
 		ServeAlone: d.bySeeds(),
 		Roster:     d.rosterDigest(),
@@ -122,6 +123,13 @@
 	})
 }
 
+// heardStranger tells the roster that a VM outside the list sends heartbeats.
+func (d *Daemon) heardStranger() {
+	if d.roster != nil {
+		d.roster.Stranger()
+	}
+}
+
 // contacts returns the peers that the cell is in contact with.
 func (d *Daemon) contacts() []roster.Heard {
 	var out []roster.Heard
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -96,6 +96,7 @@
 	m.PlatformAgeMs = uint32(min(h.PlatformAge, contact.PlatformAgeMax) / time.Millisecond)
 	m.Load = h.Load
 	m.Leaving = h.Leaving
+	m.Unclaimed = h.Unclaimed
 	m.Claims = appendShards(m.Claims[:0], h.Claims)
 	m.Held = appendShards(m.Held[:0], h.Held)
 	m.Granted = appendShards(m.Granted[:0], h.Granted)
@@ -151,6 +152,7 @@
 		PlatformAge:  min(time.Duration(m.PlatformAgeMs)*time.Millisecond, contact.PlatformAgeMax),
 		Load:         m.Load,
 		Leaving:      m.Leaving,
+		Unclaimed:    m.Unclaimed,
 	}
 	for _, mark := range m.Marks {
 		h.Marks = append(h.Marks, contact.PoisonMark{Fingerprint: mark.Fingerprint, Target: mark.Target})
--- a/node/roster/roster.go
+++ b/node/roster/roster.go
@@ -77,9 +77,11 @@
 	list   atomic.Pointer[member.List]
 	digest atomic.Uint64
 	differ atomic.Pointer[string] // peer address with another digest
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// stranger is set when a VM outside the list sent a heartbeat.
+	stranger atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 
 	mu       sync.Mutex
 	seeds    []string
@@ -131,6 +133,12 @@
 	}
 }
 
+// Stranger notes that a VM outside the list sends heartbeats. While this VM is young it
+// asks a seed sooner: the other one started with it and is known there.
+func (r *Roster) Stranger() {
+	r.stranger.Store(true)
+}
+
 // ExchangeMembers answers a peer.
 func (r *Roster) ExchangeMembers(_ context.Context, req *peerv1.ExchangeMembersRequest) (*peerv1.ExchangeMembersResponse, error) {
 	r.merge(fromWire(req.GetMembers()))
@@ -248,20 +256,31 @@
 			out = append(out, *differ)
 		}
 	}
-	wait := confirmEvery
-	if r.core.Len() == 1 || now.Sub(r.start) < gatherTime {
-		wait = seedEvery
-	}
+	wait := r.pause(now)
 	if now.Sub(r.asked) < wait || len(r.seeds) == 0 {
 		return out
 	}
 	r.asked = now
+	r.stranger.Store(false)
 	if r.core.Len() == 1 {
 		return append(out, r.seeds...)
 	}
 	return append(out, r.seeds[rand.IntN(len(r.seeds))])
 }
 
+// pause returns the time between questions to the seeds.
+func (r *Roster) pause(now time.Time) time.Duration {
+	young := now.Sub(r.start) < gatherTime
+	switch {
+	case young && r.stranger.Load():
+		return tickEvery
+	case young || r.core.Len() == 1:
+		return seedEvery
+	default:
+		return confirmEvery
+	}
+}
+
 func (r *Roster) exchange(address string) {
 	defer r.done.Done()
 	if address == r.cfg.Identity.VM.PeerAddress {
--- a/node/roster/roster_test.go
+++ b/node/roster/roster_test.go
@@ -124,3 +124,26 @@
 		}
 	}
 }
+
+// Guards against VMs that start together and know each other late: the heartbeat of one
+// that is not listed yet shortens the pause between questions to the seeds, for young
+// VMs only.
+func TestStrangerShortensThePause(t *testing.T) {
+	r := New(Config{Identity: node.Identity{VM: member.VM{ID: "vm-0"}, Instance: 1}, Seeds: []string{"p1"}})
+	r.core.Merge([]roster.Known{{VM: member.VM{ID: "vm-1", Address: "a:1", PeerAddress: "p1", FailureDomain: "d", State: member.Live}, Instance: 2}}, r.start)
+	if p := r.pause(r.start); p != seedEvery {
+		t.Fatalf("%v without a stranger", p)
+	}
+	r.Stranger()
+	if p := r.pause(r.start); p != tickEvery {
+		t.Errorf("%v after the heartbeat of a stranger", p)
+	}
+	r.due(r.start.Add(tickEvery))
+	if p := r.pause(r.start); p != seedEvery {
+		t.Errorf("%v after the question", p)
+	}
+	r.Stranger()
+	if p := r.pause(r.start.Add(gatherTime)); p != confirmEvery {
+		t.Errorf("%v for a VM that is no longer young", p)
+	}
+}
