rate: requests within the rate of their workspace wait out a takeover

Two reasons: the wait was 100 ms as soon as a holder had answered once, also while that holder was gone and calls to it timed out; and the bucket of a new lease begins empty, with the shares of few members, so that its first answers look like a workspace above its rate. Change: a request waits up to the time of a takeover unless its workspace counts as above its rate, which it does for 2 s after an answer with too few tokens. A holder says in its answers that a bucket of a new lease has had no token to spare yet (4 s at most), and such answers do not count. Requests that wait give up at the next look once their workspace turns out to be above its rate. TestRequestsWaitLongerWhileNobodyHolds set a flag that is gone; it now says by an answer with too few tokens that the workspace is above its rate, with the same bounds.

--- a/core/lease/state.go
+++ b/core/lease/state.go
@@ -99,11 +99,11 @@
 
 func (s *State) awaitGrowth(l *member.List, now time.Time) {
 	young := now.Sub(s.started) < 2*s.cfg.Wait
-	if !young || l.Len() <= s.list.Len() {
+	if !s.cfg.Elastic || !young || l.Len() <= s.list.Len() {
 		return
 	}
 	s.settled = now.Add(settleTime)
-	if s.cfg.Elastic && s.waitUntil.Before(s.settled) {
+	if s.waitUntil.Before(s.settled) {
 		s.waitUntil = s.settled
 	}
 }
@@ -111,11 +111,13 @@
 // endStartWait ends the wait after the start early when no member of a settled list
 // can hold a grant of an earlier process of this VM. It answers the return of a whole
 // fleet after a loss of power: nobody holds a shard then, and requests wait for one.
+// With a published list a VM that left it may still hold such a grant, which would end
+// the exclusiveness of leases; elastic quorums promise shares only.
 func (s *State) endStartWait(standings []contact.Standing, now time.Time) {
 	if !s.Waiting(now) {
 		s.newborn = false
 	}
-	if !s.newborn || now.Before(s.settled) || !s.listed() || s.list.Len() < 2 {
+	if !s.cfg.Elastic || !s.newborn || now.Before(s.settled) || !s.listed() || s.list.Len() < 2 {
 		return
 	}
 	for _, member := range standings {
--- a/node/rate/ask.go
+++ b/node/rate/ask.go
@@ -111,6 +111,9 @@
 		return 0
 	}
 	now := e.cfg.Now()
+	if resp.GetGiven() < r.GetWant() && !resp.GetRefilling() {
+		ws.lacked = now
+	}
 	e.lots++
 	in := quota.Response{
 		Lot:      e.lots,
--- a/node/rate/entry.go
+++ b/node/rate/entry.go
@@ -43,7 +43,10 @@
 	arrived uint32
 	// reached is true while the last call got an answer from a holder.
 	reached bool
-	used    time.Time
+	// lacked is when an answer last gave fewer tokens than were wanted, though the
+	// bucket was not refilling after a takeover.
+	lacked time.Time
+	used   time.Time
 }
 
 // waiter is a request in the queue. Its channel has room for one outcome.
@@ -100,12 +103,23 @@
 func (e *entry) longestWait(w *document.Workspace) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if ws := e.workspaces[w.ID]; ws != nil && ws.reached {
+	if ws := e.workspaces[w.ID]; ws != nil && e.short(ws, e.cfg.Now()) {
 		return e.cfg.MaxWait
 	}
 	return e.cfg.HolderWait
 }
 
+// lackFor is how long after an answer with too few tokens a workspace counts as above
+// its rate.
+const lackFor = 2 * time.Second
+
+// short tells whether the workspace is above its rate, so that its requests wait briefly.
+// Others wait as long as a takeover takes: only a lost holder keeps them waiting. e.mu is
+// held.
+func (e *entry) short(ws *workspace, now time.Time) bool {
+	return ws.reached && !ws.lacked.IsZero() && now.Sub(ws.lacked) < lackFor
+}
+
 // turn is an attempt to admit a request: a token, or a place in the queue.
 type turn struct {
 	workspace *workspace
@@ -199,19 +213,9 @@
 
 // wait returns the token of a queued request.
 func (e *entry) wait(ctx context.Context, wt *waiter, deadline time.Time, byCaller bool) (quota.Token, error) {
-	timer := time.NewTimer(deadline.Sub(e.cfg.Now()))
-	defer timer.Stop()
-	displaced := false
-	select {
-	case o := <-wt.outcome:
-		if o.dropped == fair.Accepted {
-			return o.token, nil
-		}
-		displaced = o.dropped == fair.QueueFull
-	case <-ctx.Done():
-		byCaller = true
-	case <-timer.C:
-	case <-e.ctx.Done():
+	o, ok := e.await(ctx, wt, deadline)
+	if ok && o.dropped == fair.Accepted {
+		return o.token, nil
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -219,10 +223,44 @@
 	if !e.queue.Cancel(wt.item) {
 		e.takeBack(wt)
 	}
-	if displaced {
+	if o.dropped == fair.QueueFull {
 		return quota.Token{}, refusal(fault.Overloaded, 0, "displaced by a workspace with fewer waiting requests")
 	}
-	return quota.Token{}, e.explain(wt.workspace, byCaller)
+	return quota.Token{}, e.explain(wt.workspace, byCaller || ctx.Err() != nil)
+}
+
+// await returns the outcome of a queued request; ok is false when it gave up before.
+func (e *entry) await(ctx context.Context, wt *waiter, deadline time.Time) (o outcome, ok bool) {
+	timer := time.NewTimer(min(e.cfg.MaxWait, deadline.Sub(e.cfg.Now())))
+	defer timer.Stop()
+	for {
+		select {
+		case o = <-wt.outcome:
+			return o, true
+		case <-ctx.Done():
+			return outcome{}, false
+		case <-e.ctx.Done():
+			return outcome{}, false
+		case <-timer.C:
+		}
+		left := e.patience(wt.workspace, deadline)
+		if left <= 0 {
+			return outcome{}, false
+		}
+		timer.Reset(left)
+	}
+}
+
+// patience returns how long a request that has waited MaxWait goes on waiting before it
+// looks again: not at all once its workspace turned out to be above its rate.
+func (e *entry) patience(ws *workspace, deadline time.Time) time.Duration {
+	now := e.cfg.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.short(ws, now) {
+		return 0
+	}
+	return min(e.cfg.MaxWait, deadline.Sub(now))
 }
 
 // takeBack returns the token of a request that gave up while it was served.
--- a/node/rate/holder.go
+++ b/node/rate/holder.go
@@ -25,6 +25,11 @@
 	neverPeriod = time.Hour
 )
 
+// refillTime bounds how long a bucket of a new lease counts as refilling: it begins
+// empty, not all members lend at once, and the requests of the takeover wait for its
+// tokens. At 60% of the rate the backlog of a takeover of 2.6 s lasts 3.9 s.
+const refillTime = 4 * time.Second
+
 // bucketIdle is how long a bucket is kept after its last use.
 const bucketIdle = 5 * time.Second
 
@@ -65,6 +70,9 @@
 // shard is the state of one shard that this VM holds.
 type shard struct {
 	fill quota.Fill
+	// epoch is that of the lease, and since when it was first observed.
+	epoch uint64
+	since time.Time
 	// at is the time of the last observation.
 	at      time.Time
 	buckets map[string]*bucket
@@ -79,6 +87,8 @@
 	division *quota.Division
 	used     time.Time
 	lacked   time.Time
+	// refilled is the epoch of the lease in which the bucket first had tokens to spare.
+	refilled uint64
 }
 
 func newHolder(c Config) *holder {
@@ -185,6 +195,9 @@
 		h.shards[s] = st
 	}
 	grants := quota.Grants{Count: hold.Grants, Members: max(hold.Fleet, hold.Members), Exclusive: hold.Exclusive}
+	if st.epoch != hold.Epoch {
+		st.epoch, st.since = hold.Epoch, before
+	}
 	st.at = before
 	st.fill.Observe(before, after, hold.Epoch, grants.Fraction(h.cfg.Reserved))
 	return st, before
@@ -281,6 +294,9 @@
 		allowed = b.division.Allow(r.GetVm(), allowed, b.quota.Refill(f), now)
 	}
 	given := b.quota.Take(allowed)
+	if given == want && b.quota.Level() >= 1 {
+		b.refilled = b.shard.epoch
+	}
 	if given < want {
 		b.lacked = now
 		if b.division == nil {
--- a/node/rate/pending.go
+++ b/node/rate/pending.go
@@ -90,6 +90,7 @@
 		Given:      uint32(given),
 		LifetimeMs: lifetime(b.quota.Lifetime()),
 		Holder:     true,
+		Refilling:  b.refilled != st.epoch && now.Sub(st.since) < refillTime,
 	}
 	if given < int(r.GetWant()) {
 		resp.RetryAfterMs = milliseconds(b.delay(&st.fill, r, now))
