lease, rate: names, comments, and a test whose calls do not come in between

Cause: TestRequestsStopWaitingOnceAboveTheRate failed in 3 of 4 runs with the race detector beside other runs: a call that found no holder fell on the same virtual time as the answer that the test notes, and took it back. Change: the test keeps a call in flight, so that no other one starts. Names and comments in core/lease.

--- a/core/lease/agent.go
+++ b/core/lease/agent.go
@@ -83,14 +83,15 @@
 	h.Claims, h.Held = a.Lease.Claims(now)
 	h.Granted = a.Lease.GrantsTo(p.VM.ID, h.EchoInstance, now)
 	h.Leaving = a.Lease.leaving
-	known := h.EchoInstance == uint32(p.Instance) && p.Instance != 0
-	h.Unclaimed = known && now.Sub(p.Since) < unclaimedFor && a.Lease.unclaimedBefore(p.Since)
+	// An instance that is not proven yet was first heard at a time that is not known.
+	proven := h.EchoInstance == uint32(p.Instance) && p.Instance != 0
+	h.Unclaimed = proven && now.Sub(p.Since) < unclaimedFor && a.Lease.unclaimedBefore(p.Since)
 	return h
 }
 
 // Receive takes in a heartbeat. It returns its sender, and the peers with a new
 // grant to send a heartbeat to now. The sender is nil for a heartbeat that was
-// not accepted.
+// not accepted, and the verdict says why.
 func (a *Agent) Receive(h *contact.Heartbeat, now time.Time) (from *contact.Peer, reply []*contact.Peer, verdict contact.Verdict) {
 	r, verdict := a.Contact.Receive(h, now)
 	if verdict != contact.Accepted {
--- a/core/lease/state.go
+++ b/core/lease/state.go
@@ -120,8 +120,8 @@
 	if !s.cfg.Elastic || !s.newborn || now.Before(s.settled) || !s.listed() || s.list.Len() < 2 {
 		return
 	}
-	for _, member := range standings {
-		if !member.Unclaimed {
+	for _, standing := range standings {
+		if !standing.Unclaimed {
 			return
 		}
 	}
--- a/node/rate/wait_test.go
+++ b/node/rate/wait_test.go
@@ -63,6 +63,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		e, w := entryWithoutHolder()
 		defer e.close()
+		// A call is in flight all the time, so that none that fails comes in between.
+		e.mu.Lock()
+		e.workspace(w, time.Now()).asking = true
+		e.mu.Unlock()
 		time.AfterFunc(150*time.Millisecond, func() { answered(e, w) })
 		began := time.Now()
 		err := e.admit(context.Background(), w)
