soak: fleets without a published list, and the loss of all processes at once

Cause: the soak ran only fleets that read a published list, while the users' platform publishes none; no seed lost all processes at once, which is when the start-up wait ends early. Change: even seeds run VMs that find each other by three seeds, with seats; after the faults and the graceful stops all VMs are killed at once and started again.

--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -18,7 +18,7 @@
 
 var (
 	seed   = flag.Uint64("soak.seed", 1, "first seed")
-	seeds  = flag.Int("soak.seeds", 1, "number of seeds, one after the other")
+	seeds  = flag.Int("soak.seeds", 2, "number of seeds, one after the other")
 	length = flag.Duration("soak.for", 12*time.Second, "length of the faults of one seed")
 	vms    = flag.Int("soak.vms", 6, "number of VMs, 4 to 30")
 )
@@ -44,8 +44,9 @@
 }
 
 // Guards against promises that hold in one process but not with real ones that are
-// killed, paused and cut off at the same time. One command replays a seed:
-// go test ./soak -run TestSoak -soak.seed N.
+// killed, paused and cut off at the same time. The VMs of odd seeds read a published list,
+// those of even seeds find each other. One command replays a seed:
+// go test ./soak -run TestSoak -soak.seed N -soak.seeds 1.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the processes are built without the race detector")
@@ -67,13 +68,14 @@
 			_ = os.RemoveAll(dir)
 		}
 	})
-	w := startWorld(t, dir, *vms)
+	w := startWorld(t, dir, *vms, seed%2 == 0)
 	w.awaitService(t)
 	w.faults(t, rand.New(rand.NewPCG(seed, 0)), *length)
 	w.heal()
 	w.awaitService(t)
 	w.checkCalm(t)
 	w.checkStops(t)
+	w.checkRestart(t)
 	w.checkTicket(t)
 	for _, problem := range w.broken() {
 		t.Error(problem)
@@ -124,6 +126,18 @@
 	}
 }
 
+// checkRestart kills all VMs at once and starts them again: no process remembers what its
+// predecessor gave out.
+func (w *world) checkRestart(t *testing.T) {
+	for _, vm := range w.vms {
+		vm.end()
+	}
+	for i := range w.vms {
+		w.revive(t, i)
+	}
+	w.awaitService(t)
+}
+
 // cutSince judges the answers that were cut around a graceful stop.
 func (w *world) cutSince(began time.Time) string {
 	if cut := w.seen.cuts(began); len(cut) > 0 {
--- a/cmd/soak/world_test.go
+++ b/cmd/soak/world_test.go
@@ -17,6 +17,7 @@
 	"github.com/galenasail/galenasail/cmd/internal/standin/platform"
 	"github.com/galenasail/galenasail/cmd/internal/standin/target"
 	"github.com/galenasail/galenasail/core/document"
+	"github.com/galenasail/galenasail/core/member"
 	"github.com/galenasail/galenasail/node/settings"
 )
 
@@ -61,6 +62,8 @@
 	ledger     *ledger.Ledger
 	seen       *seen
 	ticket     uint64
+	// bySeeds is true when the VMs find each other without a published list.
+	bySeeds bool
 }
 
 // seen counts what callers got. It is safe for concurrent use.
@@ -123,12 +126,12 @@
 }
 
 // startWorld starts everything. Logs and settings go to dir.
-func startWorld(t *testing.T, dir string, vms int) *world {
+func startWorld(t *testing.T, dir string, vms int, bySeeds bool) *world {
 	ports, err := deployment.FreePorts()
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{deployment: size(), ports: ports, platform: platform.New(platform.Config{}), ledger: ledger.New(), seen: newSeen()}
+	w := &world{deployment: size(), ports: ports, platform: platform.New(platform.Config{}), ledger: ledger.New(), seen: newSeen(), bySeeds: bySeeds}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() {
@@ -182,10 +185,10 @@
 		store := startProxy(t, "127.0.0.1:0", l.Addr().String())
 		w.paths = append(w.paths, startProxy(t, vm.Address, back))
 		w.stores = append(w.stores, store)
-		p, err := newProcess(program, dir, &settings.Settings{
+		p, err := newProcess(program, dir, w.settings(&settings.Settings{
 			ID: vm.ID, Address: back, PeerAddress: vm.PeerAddress, AdminAddress: w.ports.AdminAddress(i),
 			FailureDomain: vm.FailureDomain, PlatformURL: "http://" + store.listener.Addr().String(), SharedKey: soakKey,
-		})
+		}, list))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -197,6 +200,22 @@
 	}
 }
 
+// seedCount is the number of VMs that all others ask for the fleet.
+const seedCount = 3
+
+// settings adds how the VMs find each other. VMs without a published list tell callers
+// the address at which they listen, so that only address questions pass the proxies.
+func (w *world) settings(s *settings.Settings, list *member.List) *settings.Settings {
+	if !w.bySeeds {
+		return s
+	}
+	s.Membership, s.Seats = settings.BySeeds, settings.FewSeats
+	for _, vm := range list.VMs[:seedCount] {
+		s.Seeds = append(s.Seeds, vm.PeerAddress)
+	}
+	return s
+}
+
 // publish puts documents in force.
 func (w *world) publish(t *testing.T, documents ...deployment.Named) {
 	file := &document.TicketFile{Ticket: w.ticket + 1, Documents: map[string]json.RawMessage{}}
