--- a/node/command/fail.go
+++ b/node/command/fail.go
@@ -14,7 +14,7 @@
 func (j *job) fail(err error) {
 	e := j.truthful(fault.Of(err))
 	j.h.cfg.Metrics.Failed(e.Kind, j.workspaceID())
-	j.report(e.Error())
+	j.report(j.h.reporter.failed, e.Error())
 	if j.statusSent {
 		// net/http closes the connection (HTTP/1.1) or resets the stream.
 		panic(http.ErrAbortHandler)
--- a/node/command/report.go
+++ b/node/command/report.go
@@ -14,28 +14,33 @@
 	"github.com/galenasail/galenasail/node/wire"
 )
 
+// Bounds of the events about requests: a failure that hits all requests must not push
+// the events about its cause out of the ring. Failed and answered requests have bounds of
+// their own, so that those that somebody may ask about are kept.
 const (
-	// eventsPerSecond bounds the events about requests: a failure that hits all
-	// requests must not push the events about its cause out of the ring.
-	eventsPerSecond = 10
-	// eventBurst is the number of such events after a quiet time.
-	eventBurst = 50
+	failedPerSecond   = 50
+	failedBurst       = 200
+	answeredPerSecond = 5
+	answeredBurst     = 50
 )
 
 // reporter records events about requests at a bounded rate.
 type reporter struct {
-	limit      *rate.Limiter
-	suppressed atomic.Int64
+	failed, answered *rate.Limiter
+	suppressed       atomic.Int64
 }
 
 func newReporter() *reporter {
-	return &reporter{limit: rate.NewLimiter(eventsPerSecond, eventBurst)}
+	return &reporter{
+		failed:   rate.NewLimiter(failedPerSecond, failedBurst),
+		answered: rate.NewLimiter(answeredPerSecond, answeredBurst),
+	}
 }
 
-// report records RequestDone for a request. What names its end.
-func (j *job) report(what string) {
+// report records RequestDone for a request within a limit. What names its end.
+func (j *job) report(limit *rate.Limiter, what string) {
 	rep := j.h.reporter
-	if !rep.limit.Allow() {
+	if !limit.Allow() {
 		rep.suppressed.Add(1)
 		return
 	}
@@ -66,7 +71,7 @@
 func (j *job) succeed() {
 	j.checkAnswer()
 	if j.sends > 1 || j.tokenWait+j.permitWait > noticeableWait || len(j.r.Header[wire.HeaderTrace]) > 0 {
-		j.report(fmt.Sprintf("answered with status %d", j.out.status))
+		j.report(j.h.reporter.answered, fmt.Sprintf("answered with status %d", j.out.status))
 	}
 }
 
