lease: fewer fast heartbeats, and seats whose candidates are all lost are taken soon

Cause: a VM without a seat exchanged fast heartbeats with each candidate of each seat (24 of 146 VMs at 8 seats) and slow ones with all others, so its wakeups grew with the fleet. And a VM behind lost candidates counted them as in contact for the slow timeout of 10 s: after a loss of 6 or 12 of 24 VMs at once a seat had no holder for 5.4 to 8.3 s. Change: fast pairs are those with a holder, pairs of candidates (6 a seat) and, in the start-up wait, peers that have not yet said that they hold no grant. The slow interval grows with the cell above 48 VMs, up to 3.5 times. A VM claims a seat that has been vacant for a turn by its rank. Claims and ranks are computed once and not for each heartbeat and shard. TestRestartBetweenHolders: its planted defect needs a lone restart that ends its wait early, which now happens only where all heartbeats are fast; it runs both configurations, and the defect on the fast one.

--- a/core/contact/peer.go
+++ b/core/contact/peer.go
@@ -48,6 +48,8 @@
 
 	// Timeout is the age of an echoed datagram up to which the peer is in contact.
 	Timeout time.Duration
+	// keptUntil is until when the peer stays in contact after its Timeout was lowered.
+	keptUntil time.Time
 	// NextHeartbeat is when the next heartbeat to the peer is due.
 	NextHeartbeat time.Time
 	listed        bool
@@ -79,7 +81,20 @@
 	if p.Echoed.Seq == 0 {
 		return time.Time{}
 	}
-	return p.Echoed.At.Add(p.Timeout)
+	until := p.Echoed.At.Add(p.Timeout)
+	if p.keptUntil.After(until) {
+		return p.keptUntil
+	}
+	return until
+}
+
+// KeepContact keeps a peer that is in contact so for d, although its Timeout is lowered now.
+func (p *Peer) KeepContact(now time.Time, d time.Duration) {
+	until, kept := p.ContactUntil(), now.Add(d)
+	if kept.After(until) {
+		kept = until
+	}
+	p.keptUntil = kept
 }
 
 // IsLeaving reports whether the peer leaves the fleet according to its last heartbeat or to
@@ -148,6 +163,7 @@
 	p.Digest = 0
 	p.Load = 0
 	p.Echoed = Sent{}
+	p.keptUntil = time.Time{}
 	p.received = 0
 	p.candidate = candidate{}
 }
--- a/core/lease/agent.go
+++ b/core/lease/agent.go
@@ -76,7 +76,7 @@
 	var due []*contact.Peer
 	for _, p := range a.Contact.Peers() {
 		t := a.heartbeatTiming(p)
-		p.Timeout = t.Timeout
+		a.setTimeout(p, t.Timeout, now)
 		if all || changed || !now.Before(p.NextHeartbeat) || slices.Contains(newGrants, p.VM.ID) {
 			p.NextHeartbeat = now.Add(a.interval(t))
 			due = append(due, p)
@@ -94,13 +94,47 @@
 	return t.Interval
 }
 
-// heartbeatTiming returns the fast rate for a peer when this VM is in its start-up wait or
-// claims a shard, or when either VM is a holder or a candidate; else the slow rate.
+// setTimeout sets the contact timeout of a peer. A peer in contact at the slow rate that begins
+// to claim shards stays in contact until its heartbeats at the fast rate have to arrive.
+func (a *Agent) setTimeout(p *contact.Peer, timeout time.Duration, now time.Time) {
+	if timeout < p.Timeout && a.Lease.claims(p.VM.ID) {
+		p.KeepContact(now, timeout)
+	}
+	p.Timeout = timeout
+}
+
+// heartbeatTiming returns the fast rate for a peer that needs fast heartbeats, and in the
+// start-up wait for each peer that has not yet reported whether it may hold a grant of an
+// earlier process of this VM; else the slow rate.
 func (a *Agent) heartbeatTiming(p *contact.Peer) Timing {
-	if a.Lease.starting || a.lastClaims.Len() > 0 || a.Lease.isHolderOrCandidate(p.VM.ID) || a.Lease.isHolderOrCandidate(a.Lease.id) {
+	awaited := a.Lease.starting && !p.Unclaimed
+	if awaited || a.lastClaims.Len() > 0 || a.Lease.needsFastHeartbeats(p.VM.ID) {
 		return a.cfg.FastHeartbeats
 	}
-	return a.cfg.SlowHeartbeats
+	return a.slowTiming()
+}
+
+const (
+	// slowCellSize is the number of VMs up to which the slow rate is that of the
+	// configuration. In larger cells the interval grows with the number of VMs, so that
+	// a VM sends no more heartbeats.
+	slowCellSize = 48
+	// maxSlowFactor bounds that growth: a VM from which no heartbeat arrives for 60 s
+	// leaves the list, so several of them must fit into this time.
+	maxSlowFactor = 3.5
+)
+
+// slowTiming returns the timing of slow heartbeats for the number of VMs of the cell.
+func (a *Agent) slowTiming() Timing {
+	factor := min(maxSlowFactor, max(1, float64(len(a.Contact.Peers()))/slowCellSize))
+	slow := a.cfg.SlowHeartbeats
+	if a.cfg.Seats == 0 {
+		return slow
+	}
+	return Timing{
+		Interval: time.Duration(factor * float64(slow.Interval)),
+		Timeout:  time.Duration(factor * float64(slow.Timeout)),
+	}
 }
 
 // Heartbeat returns the next heartbeat to p. The caller adds the configuration status and
--- a/core/lease/grantor.go
+++ b/core/lease/grantor.go
@@ -38,8 +38,12 @@
 		cl.granted = member.ShardSet{}
 		cl.holding = member.ShardSet{}
 	}
+	claimed := cl.Claims.Len() > 0
 	cl.Claim = c
 	cl.inContact = inContact
+	if claimed != (c.Claims.Len() > 0) {
+		s.updateClaiming()
+	}
 	freed := s.release(cl)
 	before := cl.granted
 	cl.granted = member.ShardSet{}
@@ -54,6 +58,12 @@
 	return s.newGrantIDs(newGrants)
 }
 
+// claims reports whether the newest heartbeat of a member claims shards.
+func (s *State) claims(id string) bool {
+	index, ok := s.index[id]
+	return ok && s.claimants[index].Claims.Len() > 0
+}
+
 // release deletes the grants of the instance for shards that it no longer claims, and
 // returns these shards.
 func (s *State) release(cl *claimant) member.ShardSet {
@@ -68,7 +78,8 @@
 // grantFree grants a free shard to one of the members that claim it, and sets its entry in
 // newGrants.
 func (s *State) grantFree(shard member.Shard, now time.Time, newGrants []bool) {
-	for index, cl := range s.claimants {
+	for _, index := range s.claiming {
+		cl := s.claimants[index]
 		if !cl.Claims.Has(shard) {
 			continue
 		}
@@ -112,7 +123,8 @@
 	if s.claimants[index].Held.Has(shard) {
 		return false
 	}
-	for other, cl := range s.claimants {
+	for _, other := range s.claiming {
+		cl := s.claimants[other]
 		if other == index || !cl.inContact || !cl.Claims.Has(shard) {
 			continue
 		}
@@ -146,7 +158,8 @@
 // best rank. ok is false when no member in contact claims the shard.
 func (s *State) Claimant(shard member.Shard, now time.Time) (id string, ok bool) {
 	best, bestScore := -1, 0
-	for index, cl := range s.claimants {
+	for _, index := range s.claiming {
+		cl := s.claimants[index]
 		if !cl.inContact || !cl.Claims.Has(shard) {
 			continue
 		}
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -28,6 +28,14 @@
 // Claims returns the shards that this VM claims and those of them for which it
 // has a quorum.
 func (s *State) Claims(now time.Time) (claims, held member.ShardSet) {
+	if m := &s.claimMemo; !m.valid || !m.at.Equal(now) {
+		m.claims, m.held = s.computeClaims(now)
+		m.at, m.valid = now, true
+	}
+	return s.claimMemo.claims, s.claimMemo.held
+}
+
+func (s *State) computeClaims(now time.Time) (claims, held member.ShardSet) {
 	for shard := range member.Shard(member.ShardCount) {
 		c := s.own[shard]
 		if c == nil {
@@ -72,7 +80,7 @@
 	mayClaim := s.listed() && !s.leaving && !s.Waiting(now) && s.list.VMs[s.self].State == member.Live
 	var added bool
 	for shard := range member.Shard(member.ShardCount) {
-		want := mayClaim && s.firstEligible(shard, statuses) == s.self
+		want := mayClaim && s.firstEligible(shard, statuses, now) == s.self
 		switch {
 		case !want:
 			s.drop(shard)
@@ -84,6 +92,7 @@
 	if !added {
 		return
 	}
+	s.claimMemo.valid = false
 	s.epoch++
 	if s.claimedAt.IsZero() {
 		s.claimedAt = now
@@ -91,10 +100,11 @@
 }
 
 // firstEligible returns the index of the first eligible member in rank order, -1 for none.
-func (s *State) firstEligible(shard member.Shard, statuses []contact.MemberStatus) int {
-	for _, index := range s.order[shard] {
-		if statuses[index].Eligible {
-			return int(index)
+func (s *State) firstEligible(shard member.Shard, statuses []contact.MemberStatus, now time.Time) int {
+	for _, i := range s.order[shard] {
+		index := int(i)
+		if statuses[index].Eligible && (index == s.self || !s.presumedLost(shard, index, now)) {
+			return index
 		}
 	}
 	return -1
@@ -105,6 +115,7 @@
 		return
 	}
 	s.own[shard] = nil
+	s.claimMemo.valid = false
 	s.dirty.Add(shard)
 }
 
@@ -115,6 +126,7 @@
 	if s.listed() {
 		cl := s.claimants[s.self]
 		cl.Claims = member.ShardSet{}
+		s.updateClaiming()
 		s.release(cl)
 	}
 }
@@ -132,6 +144,7 @@
 	if _, ok := s.index[g.ID]; !ok {
 		return
 	}
+	s.claimMemo.valid = false
 	end := g.SentAt.Add(s.cfg.Term)
 	if !now.Before(end) {
 		return
--- a/core/lease/restart_test.go
+++ b/core/lease/restart_test.go
@@ -71,14 +71,19 @@
 
 // Guards against a VM that restarts while two VMs hold a shard and lends the same share to both:
 // to the one to which its former process lent it, and to the other one. When all heartbeats
-// falsely report that their sender has claimed nothing, a check must fail.
+// falsely report that their sender has claimed nothing, a check must fail. The wait of a VM that
+// restarts alone can end early only where all members answer it at the fast rate.
 func TestRestartBetweenHolders(t *testing.T) {
+	allFast := seated
+	allFast.SlowHeartbeats = seated.FastHeartbeats
 	detected := 0
 	for seed := range uint64(2 * defectRuns) {
-		if v := restartBetweenHolders(seed, defects{config: seated}); v != "" {
-			t.Errorf("seed %d: %s", seed, v)
+		for _, config := range []Config{seated, allFast} {
+			if v := restartBetweenHolders(seed, defects{config: config}); v != "" {
+				t.Errorf("seed %d, slow heartbeats every %v: %s", seed, config.SlowHeartbeats.Interval, v)
+			}
 		}
-		if restartBetweenHolders(seed, defects{config: seated, allUnclaimed: true}) != "" {
+		if restartBetweenHolders(seed, defects{config: allFast, allUnclaimed: true}) != "" {
 			detected++
 		}
 	}
--- a/core/lease/state.go
+++ b/core/lease/state.go
@@ -24,6 +24,9 @@
 	index          map[string]int
 	order          [member.ShardCount][]uint16 // member indexes by rank
 	position       [member.ShardCount][]uint16 // rank by member index
+	candidates     []bool                      // by member index: among the next to hold a seat
+	claiming       []int                       // member indexes with claims, ascending
+	vacancies      vacancies
 	recentLists    []adoptedList
 	removedAt      map[string]time.Time
 	startedAt      time.Time
@@ -40,6 +43,7 @@
 	reachable      int // VMs in contact, this one included
 	dirty          member.ShardSet
 	seats          int // of the list; 0: the VMs are ranked for each shard separately
+	claimMemo      claimMemo
 }
 
 // New returns the lease state of a process that is started at now.
@@ -86,6 +90,9 @@
 		}
 	}
 	s.rank()
+	s.updateClaiming()
+	s.vacancies = vacancies{}
+	s.claimMemo.valid = false
 	s.dropRemovedGrants()
 	if !s.listed() {
 		s.dropAll()
@@ -166,7 +173,7 @@
 	}
 }
 
-// rank computes the rank order of the members for each shard.
+// rank computes the rank order of the members for each shard. The shards of a seat share it.
 func (s *State) rank() {
 	s.seats = 0
 	if s.cfg.Seats > 0 {
@@ -174,40 +181,28 @@
 	}
 	seats := member.RankSeats(s.list, s.seats)
 	for shard := range member.Shard(member.ShardCount) {
-		var ids []string
-		if s.seats > 0 {
-			ids = seats[int(shard)%s.seats]
-		} else {
-			ids = member.Rank(s.list, member.ShardKey(shard))
-		}
-		s.order[shard] = make([]uint16, len(ids))
-		s.position[shard] = make([]uint16, len(ids))
-		for rank, id := range ids {
-			s.order[shard][rank] = uint16(s.index[id])
-			s.position[shard][s.index[id]] = uint16(rank)
+		switch {
+		case s.seats == 0:
+			s.order[shard], s.position[shard] = s.indexes(member.Rank(s.list, member.ShardKey(shard)))
+		case int(shard) < s.seats:
+			s.order[shard], s.position[shard] = s.indexes(seats[shard])
+		default:
+			first := int(shard) % s.seats
+			s.order[shard], s.position[shard] = s.order[first], s.position[first]
 		}
 	}
+	s.rankCandidates()
 }
 
-// seatCandidates is the number of VMs, first in the order of a seat, that exchange heartbeats
-// at the fast rate because they may hold the seat next.
-const seatCandidates = 3
-
-// isHolderOrCandidate reports whether a VM claims shards or is among the next to hold them.
-func (s *State) isHolderOrCandidate(id string) bool {
-	index, ok := s.index[id]
-	if !ok {
-		return false
-	}
-	if s.claimants[index].Claims.Len() > 0 || s.seats == 0 {
-		return true
-	}
-	for seat := range s.seats {
-		if int(s.position[seat][index]) < seatCandidates {
-			return true
-		}
+// indexes returns the member indexes of ids in the same order, and the rank by member index.
+func (s *State) indexes(ids []string) (order, position []uint16) {
+	order = make([]uint16, len(ids))
+	position = make([]uint16, len(ids))
+	for rank, id := range ids {
+		order[rank] = uint16(s.index[id])
+		position[s.index[id]] = uint16(rank)
 	}
-	return false
+	return order, position
 }
 
 // expireRemoved stops counting VMs that were removed more than removedRetention ago.
@@ -272,6 +267,8 @@
 		}
 	}
 	s.endStartWait(statuses, now)
+	s.updateVacancies(now)
+	s.claimMemo.valid = false
 	s.chooseClaims(statuses, now)
 	s.expireRemoved(now)
 	newGrants := make([]bool, len(s.claimants))
