duty, cell: the periodic work of an idle VM is due at the same times

Cause: six tickers of a VM had phases of their own, about 80 wakeups a second, and each tick of the cell published all peers and the deadline of the contact rule, which a VM that serves without contact does not use. Change: duty.Every calls at multiples of the interval since the start of the process; peers are published every 200 ms, besides at each heartbeat; the roster asks the cell for contacts every 500 ms instead of 100 ms.

--- a/node/cell/actor.go
+++ b/node/cell/actor.go
@@ -49,6 +49,8 @@
 	marks        markStore
 	recorded     eventState
 	suspension   suspension
+	// peersPublishedAt is when the entries of all peers were last published.
+	peersPublishedAt time.Time
 
 	status          status
 	statusChangedAt time.Time
--- a/node/cell/cell.go
+++ b/node/cell/cell.go
@@ -219,16 +219,8 @@
 // tick sends the actor an updateRequested message every tickInterval until Stop.
 func (c *Cell) tick() {
 	defer c.done.Done()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		c.enqueue(updateRequested{})
-		select {
-		case <-c.stop:
-			return
-		case <-ticker.C:
-		}
-	}
+	c.enqueue(updateRequested{})
+	duty.Every(c.stop, tickInterval, func() { c.enqueue(updateRequested{}) })
 }
 
 // enqueue sends m to the actor without blocking. It does not retry when the mailbox
--- a/node/cell/publish.go
+++ b/node/cell/publish.go
@@ -16,6 +16,10 @@
 // an overload.
 const shedEventInterval = time.Second
 
+// publishPeersInterval is the period at which the entries of all peers are published. It only
+// delays changes that come without a heartbeat: other timeouts, and events.
+const publishPeersInterval = 200 * time.Millisecond
+
 // eventState is the state that the events recorded last. An event is recorded when
 // the actual state differs from it.
 type eventState struct {
@@ -32,12 +36,21 @@
 func (r *actorState) publish(now time.Time) {
 	r.publishViews(now)
 	r.publishHolders(now)
+	if now.Sub(r.peersPublishedAt) >= publishPeersInterval {
+		r.peersPublishedAt = now
+		r.publishPeers(now)
+	}
+	r.recordOwnContact()
+	r.recordExpiredLeases(now)
+}
+
+// publishPeers publishes the entries of all peers and records whose contact began or ended.
+// Heartbeats publish the entry of their sender at once.
+func (r *actorState) publishPeers(now time.Time) {
 	for _, p := range r.contact.Peers() {
 		r.publishPeer(p)
 		r.recordPeerContact(p, now)
 	}
-	r.recordOwnContact()
-	r.recordExpiredLeases(now)
 }
 
 // publishTable replaces the published member table and keeps the entries of VMs that
@@ -93,16 +106,25 @@
 		changed.Add(shard)
 	}
 	r.recordLeaseChanges(changed, now)
-	if deadline := r.contact.Deadline(now); deadline.IsZero() {
-		r.cell.contactDeadline.Store(never)
-	} else {
-		r.cell.contactDeadline.Store(r.cell.nanos(deadline))
+	if !r.cell.cfg.ServeIsolated {
+		r.publishContactDeadline(now)
 	}
 	if age := r.contact.PlatformAge(now); age < contact.PlatformAgeMax {
 		r.cell.RecordPlatformResponse(now.Add(-age))
 	}
 }
 
+// publishContactDeadline publishes until when the contact rule is satisfied. A VM that serves
+// without contact does not need it.
+func (r *actorState) publishContactDeadline(now time.Time) {
+	deadline := r.contact.Deadline(now)
+	if deadline.IsZero() {
+		r.cell.contactDeadline.Store(never)
+		return
+	}
+	r.cell.contactDeadline.Store(r.cell.nanos(deadline))
+}
+
 // publishHolders publishes the member that claims each shard.
 func (r *actorState) publishHolders(now time.Time) {
 	for shard := range member.Shard(member.ShardCount) {
--- a/node/platform/reader.go
+++ b/node/platform/reader.go
@@ -333,16 +333,7 @@
 
 // tick sends a tickMessage every tickInterval until Stop.
 func (r *Reader) tick(d *duty.Actor[message]) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-ticker.C:
-			_ = d.Send(tickMessage{})
-		}
-	}
+	duty.Every(r.ctx.Done(), tickInterval, func() { _ = d.Send(tickMessage{}) })
 }
 
 // run runs one operation and delivers its result.
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -81,9 +81,8 @@
 	p.entry.init()
 	p.holder = newHolderActor(p)
 	p.actor = duty.Spawn(c.System, "pool", mailboxSize, func(m message) { m.apply(p.holder) })
-	p.background.Add(2)
-	go p.every(tickInterval, func() { _ = p.actor.Send(tick{}) })
-	go p.every(reportInterval, p.reportAll)
+	p.runEvery(tickInterval, func() { _ = p.actor.Send(tick{}) })
+	p.runEvery(reportInterval, p.reportAll)
 	return p
 }
 
@@ -96,19 +95,9 @@
 	})
 }
 
-// every calls f at each interval until the pool stops.
-func (p *Pool) every(interval time.Duration, f func()) {
-	defer p.background.Done()
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-p.done:
-			return
-		case <-ticker.C:
-			f()
-		}
-	}
+// runEvery calls f at each interval until the pool stops.
+func (p *Pool) runEvery(interval time.Duration, f func()) {
+	p.background.Go(func() { duty.Every(p.done, interval, f) })
 }
 
 // GroupState is the state of a group that this VM holds.
--- a/node/rate/holder.go
+++ b/node/rate/holder.go
@@ -156,7 +156,7 @@
 	}
 	h.onTick()
 	if !h.closed.Load() {
-		h.timer.Reset(h.tickDelay())
+		h.timer.Reset(duty.UntilNext(h.tickDelay()))
 	}
 }
 
--- a/node/roster/roster.go
+++ b/node/roster/roster.go
@@ -14,12 +14,16 @@
 	"github.com/galenasail/galenasail/core/member"
 	"github.com/galenasail/galenasail/core/roster"
 	"github.com/galenasail/galenasail/node"
+	"github.com/galenasail/galenasail/node/duty"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
 )
 
 const (
 	// tickInterval is the period at which due exchanges are started.
 	tickInterval = 100 * time.Millisecond
+	// contactsInterval is the period at which the roster takes over from the cell which
+	// VMs sent heartbeats.
+	contactsInterval = 500 * time.Millisecond
 	// startSeedInterval is the interval of seed queries during startPeriod and while
 	// the VM knows no other VM.
 	startSeedInterval = 200 * time.Millisecond
@@ -103,6 +107,7 @@
 	lastSeedQuery time.Time
 	lastExchange  time.Time
 	lastRefresh   time.Time
+	lastContacts  time.Time
 }
 
 // New returns a roster that contains only the VM itself.
@@ -195,16 +200,8 @@
 // run calls tick every tickInterval until Stop.
 func (r *Roster) run() {
 	defer r.done.Done()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		r.tick(time.Now())
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	r.tick(time.Now())
+	duty.Every(r.ctx.Done(), tickInterval, func() { r.tick(time.Now()) })
 }
 
 // tick starts the exchanges that are due.
@@ -255,9 +252,16 @@
 
 // updateContacts records the peers in contact and removes VMs that have expired.
 func (r *Roster) updateContacts(now time.Time) {
+	r.mu.Lock()
+	due := now.Sub(r.lastContacts) >= contactsInterval
+	r.mu.Unlock()
+	if !due {
+		return
+	}
 	contacts := r.cfg.Contacts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.lastContacts = now
 	for _, c := range contacts {
 		r.core.RecordHeartbeat(c.ID, c.Instance, c.Leaving, c.LastSeen)
 	}
