pool: no reports without permits to holders that do not wait for them

Cause: after a start or takeover each VM called the holder of each group with an empty report: 16 groups x 293 VMs. Holders of services placed by health estimates do not wait for reports. Change: such a report is sent if this VM holds permits of the service, or if the holder asks for it.

--- a/node/pool/report.go
+++ b/node/pool/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/galenasail/galenasail/core/document"
 	"github.com/galenasail/galenasail/core/member"
 	"github.com/galenasail/galenasail/core/target"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
@@ -20,6 +21,7 @@
 	if l == nil {
 		return
 	}
+	permits := p.servicesWithPermits()
 	for shard, views := range l.shards {
 		vm, ok := p.config.Ownership.Holder(shard)
 		if !ok {
@@ -30,11 +32,43 @@
 			p.entry.mu.Lock()
 			c := p.client(v)
 			p.entry.mu.Unlock()
-			p.reportIfDue(l, c, vm, holderID{vm.ID, instance})
+			if permits[c.service] || v.Service.Placement != document.ByHealthEstimate || c.reportRequested() {
+				p.reportIfDue(l, c, vm, holderID{vm.ID, instance})
+			}
 		}
 	}
 }
 
+// servicesWithPermits returns the services for whose targets this VM holds permits. For others
+// with placement by health estimates, whose new holders do not wait for reports, none is sent
+// unless the holder asks: after a restart of a large fleet, each VM would call each holder.
+func (p *Pool) servicesWithPermits() map[string]bool {
+	p.entry.mu.Lock()
+	defer p.entry.mu.Unlock()
+	found := map[string]bool{}
+	for _, c := range p.entry.clients {
+		if !found[c.service] && c.holdsPermits() {
+			found[c.service] = true
+		}
+	}
+	return found
+}
+
+// holdsPermits reports whether this VM holds permits of the group, or ended ones that no holder
+// has confirmed.
+func (c *groupClient) holdsPermits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.held)+len(c.unconfirmed) > 0
+}
+
+// reportRequested reports whether the holder asked for a report, or the last one failed.
+func (c *groupClient) reportRequested() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reportDue
+}
+
 // reportIfDue starts a report if one is due and none is in flight.
 func (p *Pool) reportIfDue(l *layout, c *groupClient, vm member.VM, holder holderID) {
 	c.mu.Lock()
