--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -93,8 +93,10 @@
 	slowInterval = 3 * time.Second
 	slowTimeout  = 10 * time.Second
 	// seatedCellSize is the intended number of VMs of a cell. It can be large,
-	// because most pairs of VMs exchange heartbeats at the slow rate.
-	seatedCellSize = 144
+	// because most pairs of VMs exchange heartbeats at the slow rate. With several
+	// cells each gives out only its part of the rate of a workspace, which is below one
+	// token for many of them.
+	seatedCellSize = 384
 )
 
 // leaseConfig returns the lease configuration. In a fleet with seats, VMs that neither
