command: a connection whose answer did not repeat the request ID gets no further request

Cause: HTTP/1.1 does not name the request of an answer; where targets do not repeat the request ID, a late copy cannot be told from an answer. Ruled out: a wait before reuse, because no bound is stated for how late a copy is. Change: the framing parser notes whether the answer repeated the ID; else the connection is not reused. On the users' platform all targets repeat it, so nothing changes there; the stand-in target does so now.

--- a/cmd/internal/standin/target/serve.go
+++ b/cmd/internal/standin/target/serve.go
@@ -37,6 +37,9 @@
 
 // serve handles one request: it sheds the request or queues and runs it.
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(HeaderRequestID); id != "" {
+		w.Header().Set(HeaderRequestID, id)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(w, "request body cannot be read or is too large", http.StatusBadRequest)
--- a/core/lease/candidate.go
+++ b/core/lease/candidate.go
@@ -45,18 +45,24 @@
 	return s.claimants[s.self].Claims.Len() > 0 || s.candidates[index] && s.candidates[s.self]
 }
 
-// vacancies holds since when no member in contact claims the shards of a seat, by the first
-// shard of the seat; zero while one does.
-type vacancies [member.ShardCount]time.Time
+// vacancy describes a seat that no member in contact claims.
+type vacancy struct {
+	// claimed is true once a member in contact claimed the seat. Before that, a fleet that
+	// starts is not yet past its start-up waits.
+	claimed bool
+	// since is when the last such claim ended; zero while there is one.
+	since time.Time
+}
 
-// updateVacancies records which seats no member in contact claims.
+// updateVacancies records which seats no member in contact claims any more.
 func (s *State) updateVacancies(now time.Time) {
 	for seat := range member.Shard(s.seats) {
+		v := &s.vacancies[seat]
 		switch {
 		case s.claimedInContact(seat):
-			s.vacancies[seat] = time.Time{}
-		case s.vacancies[seat].IsZero():
-			s.vacancies[seat] = now
+			*v = vacancy{claimed: true}
+		case v.claimed && v.since.IsZero():
+			v.since = now
 		}
 	}
 }
@@ -79,7 +85,7 @@
 	if s.seats == 0 || s.self < 0 || s.candidates[index] && s.candidates[s.self] {
 		return false
 	}
-	since := s.vacancies[int(shard)%s.seats]
+	since := s.vacancies[int(shard)%s.seats].since
 	if since.IsZero() {
 		return false
 	}
--- a/core/lease/state.go
+++ b/core/lease/state.go
@@ -26,7 +26,7 @@
 	position       [member.ShardCount][]uint16 // rank by member index
 	candidates     []bool                      // by member index: among the next to hold a seat
 	claiming       []int                       // member indexes with claims, ascending
-	vacancies      vacancies
+	vacancies      [member.ShardCount]vacancy // by seat
 	recentLists    []adoptedList
 	removedAt      map[string]time.Time
 	startedAt      time.Time
@@ -91,7 +91,7 @@
 	}
 	s.rank()
 	s.updateClaiming()
-	s.vacancies = vacancies{}
+	s.vacancies = [member.ShardCount]vacancy{}
 	s.claimMemo.valid = false
 	s.dropRemovedGrants()
 	if !s.listed() {
--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -60,7 +60,7 @@
 func (ex *exchange) newAttempt(p node.Permit) *attempt {
 	a := &attempt{exchange: ex, permit: p, startedAt: time.Now()}
 	a.ctx, a.cancel = context.WithCancel(ex.ctx)
-	a.guard = &writeGuard{check: a.checkBeforeWrite, checkHeader: a.checkHeader, method: ex.r.Method}
+	a.guard = &writeGuard{check: a.checkBeforeWrite, checkHeader: a.checkHeader, method: ex.r.Method, echo: requestEcho{ex.h.cfg.Dialect.RequestID, ex.id}}
 	if !ex.idempotent() {
 		a.guard.maxIdle = maxIdleNonIdempotent
 	}
--- a/node/command/framing.go
+++ b/node/command/framing.go
@@ -18,6 +18,16 @@
 	length    int64  // Content-Length; -1 if the answer has none
 	chunked   bool
 	status    int
+	echo      requestEcho
+	echoed    bool // the answer repeated the request ID
+}
+
+// requestEcho is the header by which an answer shows to which request it belongs.
+type requestEcho struct {
+	// header is the name of the header; empty when answers are not checked.
+	header string
+	// id is the ID of the request.
+	id string
 }
 
 // frameState is the part of the answer that the parser expects next.
@@ -37,13 +47,17 @@
 	frameUnknown
 )
 
-func newFraming(method string) *framing {
-	return &framing{bodyless: method == http.MethodHead, length: -1}
+// newFraming returns a parser of the answer to a request with the given method, which repeats
+// the request ID as described by echo.
+func newFraming(method string, echo requestEcho) *framing {
+	return &framing{bodyless: method == http.MethodHead, length: -1, echo: echo}
 }
 
-// reusable reports whether exactly one complete answer was read.
+// reusable reports whether exactly one complete answer was read and whether it is known to
+// belong to the request. A target that does not repeat request IDs may send an answer a
+// second time, late, and the connection's next request would take it for its own.
 func (f *framing) reusable() bool {
-	return f.state == frameDone
+	return f.state == frameDone && (f.echo.header == "" || f.echoed)
 }
 
 // feed parses the next bytes of the answer.
@@ -121,6 +135,9 @@
 	}
 	name, value, _ := strings.Cut(line, ":")
 	value = strings.TrimSpace(value)
+	if f.echo.header != "" && strings.EqualFold(name, f.echo.header) {
+		f.echoed = value == f.echo.id
+	}
 	switch strings.ToLower(name) {
 	case "content-length":
 		n, err := strconv.ParseInt(value, 10, 64)
@@ -137,7 +154,7 @@
 	interim := f.status >= 100 && f.status < 200
 	switch {
 	case interim && f.status != http.StatusSwitchingProtocols:
-		*f = framing{bodyless: f.bodyless, length: -1}
+		*f = framing{bodyless: f.bodyless, length: -1, echo: f.echo}
 	case f.bodyless || f.status == http.StatusNoContent || f.status == http.StatusNotModified:
 		f.state = frameDone
 	case f.chunked:
--- a/node/command/targetconn.go
+++ b/node/command/targetconn.go
@@ -20,14 +20,15 @@
 }
 
 // beginAnswer prepares to parse the answer to a request. It returns errUnsolicited
-// unless the connection is exactly at the end of the previous answer.
-func (c *targetConn) beginAnswer(method string) error {
+// unless the connection is exactly at the end of the previous answer, which repeated the ID
+// of its request.
+func (c *targetConn) beginAnswer(method string, echo requestEcho) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unsolicited.Load() || c.framing != nil && !c.framing.reusable() || c.hasUnread() {
 		return errUnsolicited
 	}
-	c.framing = newFraming(method)
+	c.framing = newFraming(method, echo)
 	return nil
 }
 
--- a/node/command/transport.go
+++ b/node/command/transport.go
@@ -60,8 +60,9 @@
 // and the writeGuard of that request allows or refuses each write.
 //
 // Bytes received before a request is written are never treated as its answer. A
-// duplicate answer that is received later is detected only if the target echoes the
-// request ID, because an HTTP/1.1 response does not identify its request.
+// duplicate answer that is received later is detected by the request ID that targets
+// repeat. A connection whose last answer did not repeat it gets no further request, because
+// an HTTP/1.1 response does not identify its request.
 type targetConn struct {
 	net.Conn
 	guard atomic.Pointer[writeGuard]
--- a/node/command/writeguard.go
+++ b/node/command/writeguard.go
@@ -26,8 +26,9 @@
 	// header. An error prevents the write.
 	checkHeader func(header []byte, complete bool) error
 
-	// method is the method of the request.
+	// method is the method of the request, echo how its answer repeats the request ID.
 	method string
+	echo   requestEcho
 	// maxIdle is the longest idle time of a connection that may be used; 0 means no
 	// limit.
 	maxIdle time.Duration
@@ -61,7 +62,7 @@
 		return errIdleTooLong
 	}
 	if !g.started {
-		if err := c.beginAnswer(g.method); err != nil {
+		if err := c.beginAnswer(g.method, g.echo); err != nil {
 			g.connUnusable = true
 			return err
 		}
