command: what a target says of itself in its answers binds this VM

They are checked last before the write, whoever granted the permit, and named to the holder as targets to avoid. A pause that is no number is logged, one without end is bounded. When all targets of a service pause, the caller is refused at once with the time of the first one, spread by a quarter. Event target_paused. Not built: telling the holder and other VMs; each learns by its own first answer.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -62,6 +62,8 @@
 	TargetWarm
 	// TargetDraining: a target receives no new requests.
 	TargetDraining
+	// TargetPaused: a target asked this VM for a pause.
+	TargetPaused
 	// PathAvoided: an entry VM cannot reach a target that other VMs can reach.
 	PathAvoided
 	// DomainOut: a failure domain was taken out of service.
@@ -96,7 +98,7 @@
 	ContactLost: "contact_lost", ContactBack: "contact_back",
 	LeaseHeld: "lease_held", LeaseLost: "lease_lost", GroupReady: "group_ready", GroupBusy: "group_busy",
 	TargetEjected: "target_ejected", TargetReturned: "target_returned", EjectionRefused: "ejection_refused",
-	TargetCold: "target_cold", TargetWarm: "target_warm", TargetDraining: "target_draining",
+	TargetCold: "target_cold", TargetWarm: "target_warm", TargetDraining: "target_draining", TargetPaused: "target_paused",
 	PathAvoided: "path_avoided", DomainOut: "domain_out", DomainIn: "domain_in",
 	RequestPoisoned: "request_poisoned", KeyRevoked: "key_withdrawn",
 	DutyFailed: "duty_failed", MessageShed: "message_shed", PeerRefused: "peer_refused",
--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -15,6 +15,7 @@
 
 	"github.com/galenasail/galenasail/core/fault"
 	"github.com/galenasail/galenasail/node"
+	"github.com/galenasail/galenasail/node/wire"
 )
 
 // retryRule says under which conditions a failed attempt may be retried; 0 means
@@ -97,9 +98,21 @@
 		return nil, a.classify(errUnsolicited)
 	}
 	a.latency = time.Since(at)
+	a.recordNotices(resp)
 	return resp, nil
 }
 
+// recordNotices records what the target says about itself in an answer to this request. An
+// answer of another target at the same address says nothing about this one.
+func (a *attempt) recordNotices(resp *http.Response) {
+	d := a.exchange.h.cfg.Dialect
+	echo := resp.Header.Get(d.RequestID)
+	ownAnswer := echo == a.exchange.id || echo == "" && !d.RequireRequestIDEcho
+	if ownAnswer && d.Classify(resp) != wire.Misdirected {
+		a.exchange.h.notices.record(a.exchange.service.Name, a.permit.Target(), d.Notices(resp), time.Now())
+	}
+}
+
 // writtenAt returns the time of the first write, or zero if nothing was written.
 func (a *attempt) writtenAt() time.Time {
 	a.guard.mu.Lock()
@@ -250,6 +263,7 @@
 		f.err = refusal
 		if fault.KindOf(refusal) == fault.NoCapacity {
 			f.retry = retryWithoutBudget
+			f.avoidTarget = true
 		}
 	case ex.r.Context().Err() != nil:
 		f.err = fault.New(fault.DeadlineNotRun, "the caller disconnected or canceled the request")
@@ -278,7 +292,10 @@
 	if err := a.permit.Check(); err != nil {
 		return err
 	}
-	return a.exchange.recheckAdmission()
+	if err := a.exchange.recheckAdmission(); err != nil {
+		return err
+	}
+	return a.exchange.h.notices.check(a.exchange.service.Name, a.permit.Target(), time.Now())
 }
 
 // recheckAdmission repeats the admission checks whose result may have changed since
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -132,6 +132,7 @@
 	retryBudgets     serviceBudgets
 	idempotency      idempotencyTable
 	quarantine       *quarantine
+	notices          *targetNotices
 	reporter         *requestReporter
 	running          atomic.Int64
 	closeAfterAnswer atomic.Bool
@@ -150,6 +151,7 @@
 		transport:    newTransport(cfg),
 		idempotency:  idempotencyTable{table: idem.New(cfg.Idempotency)},
 		quarantine:   newQuarantine(cfg),
+		notices:      newTargetNotices(cfg.Events),
 		reporter:     newReporter(),
 	}
 }
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -54,6 +54,7 @@
 	p, err := ex.h.cfg.Picker.Acquire(ex.ctx, ex.permitRequest())
 	ex.permitWait += time.Since(began)
 	if err != nil {
+		err = ex.h.notices.withReturnTime(ex.service.Name, err, time.Now())
 		f = &failure{err: err, outcome: node.OutcomeUnused}
 		return nil, err
 	}
@@ -74,11 +75,21 @@
 		DueAfter:    ex.dueAfter(),
 		Objective:   ex.remainingObjective(),
 		Retry:       ex.mayHaveArrived,
-		Avoid:       ex.failedTargets,
+		Avoid:       ex.avoidedTargets(),
 		MaxDuration: time.Until(ex.deadline),
 	}
 }
 
+// avoidedTargets returns the targets that must not get the request: those that failed it and
+// those that want no requests from this VM.
+func (ex *exchange) avoidedTargets() []string {
+	unwanted := ex.h.notices.unwanted(ex.service, time.Now())
+	if len(unwanted) == 0 {
+		return ex.failedTargets
+	}
+	return append(unwanted, ex.failedTargets...)
+}
+
 const (
 	// defaultObjective is the latency objective of routes that configure none.
 	defaultObjective = time.Second
--- a/node/wire/dialect.go
+++ b/node/wire/dialect.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/galenasail/galenasail/core/fault"
@@ -25,6 +27,16 @@
 	Unverified
 )
 
+// TargetNotices is what a target says about itself in a response.
+type TargetNotices struct {
+	// Leaving is true when the target leaves the fleet and wants no further requests.
+	Leaving bool
+	// Pause is how long this VM must send the target no requests; 0 when it may.
+	Pause time.Duration
+	// Malformed holds the text of a pause that could not be parsed; empty for none.
+	Malformed string
+}
+
 // Dialect is the HTTP convention between the fleet, callers and targets: header names and
 // the meaning of responses. The zero value is not usable; see Native.
 type Dialect struct {
@@ -51,6 +63,8 @@
 	AllowCloseDelimited bool
 	// Classify returns the class of a response.
 	Classify func(resp *http.Response) ResponseClass
+	// Notices returns what a target says about itself in a response.
+	Notices func(resp *http.Response) TargetNotices
 	// Status returns the HTTP status of an error kind.
 	Status func(k fault.Kind) int
 	// RetryAfter formats the value of a Retry-After header.
@@ -65,6 +79,7 @@
 		Timeout:         HeaderTimeout,
 		IdempotencyKeys: true,
 		Classify:        classifyNative,
+		Notices:         func(resp *http.Response) TargetNotices { return ParseNotices(resp, HeaderLeaving) },
 		Status:          func(k fault.Kind) int { return k.Answer().Status },
 		RetryAfter:      formatWholeSeconds,
 	}
@@ -77,3 +92,24 @@
 	}
 	return Answered
 }
+
+// MaxPause bounds the pause that a target may ask for.
+const MaxPause = 10 * time.Minute
+
+// ParseNotices returns the notices in a response: a target leaves if the header named leaving is
+// present, and a response with status 503 asks for a pause by Retry-After, in seconds with
+// or without fractions. A pause above MaxPause is shortened.
+func ParseNotices(resp *http.Response, leaving string) TargetNotices {
+	n := TargetNotices{Leaving: resp.Header.Get(leaving) != ""}
+	text := resp.Header.Get("Retry-After")
+	if resp.StatusCode != http.StatusServiceUnavailable || text == "" {
+		return n
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		n.Malformed = text
+		return n
+	}
+	n.Pause = time.Duration(min(seconds, MaxPause.Seconds()) * float64(time.Second))
+	return n
+}
--- a/node/wire/wire.go
+++ b/node/wire/wire.go
@@ -28,6 +28,8 @@
 	HeaderShed = "Galenasail-Shed"
 	// ShedNotRun is the value of HeaderShed.
 	ShedNotRun = "not-run"
+	// HeaderLeaving is set by a target that leaves the fleet, in all its answers.
+	HeaderLeaving = "Galenasail-Leaving"
 	// HeaderTrace requests that an event is recorded even if the request succeeds.
 	HeaderTrace = "Galenasail-Trace"
 	// HeaderReplayed marks a stored response to a repeated idempotency key.
