command: the close of a caller is noticed behind pipelined requests

Callers saw: a request ran to its end (4 s) although its caller had closed, when another request was sent behind it. Cause: net/http watches a connection by reading one byte; once that byte is the first of the next request it reads no further until the answer is written. Weighed: running pipelined requests side by side (needs a parser and ordered answers of our own), closing after the answer (each pipelining caller connects anew), reading ahead. Change: readAheadConn reads up to 64 KiB on and ends the request when the caller closes. Answers stay in order, one after the other, by net/http.

--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -53,6 +53,8 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
+	r, release := endWithConn(r)
+	defer release()
 	out := &countingWriter{ResponseWriter: w}
 	ex := &exchange{h: h, w: out, callerWriter: out, r: r, id: h.requestID(r), start: time.Now()}
 	w.Header().Set(h.cfg.Dialect.RequestID, ex.id)
--- /dev/null
+++ b/node/command/readahead.go
@@ -0,0 +1,148 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+)
+
+// maxReadAhead bounds the bytes of pipelined requests that are read from one caller before
+// the request that runs has been answered. A caller that sends more is stopped by TCP.
+const maxReadAhead = 64 << 10
+
+// readAheadListener wraps the connections of callers in readAheadConn.
+type readAheadListener struct{ net.Listener }
+
+// Accept waits for the next connection.
+func (l readAheadListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newReadAheadConn(c), nil
+}
+
+// readAheadConn is a caller's connection whose close is noticed also behind pipelined requests.
+// While a request runs, net/http reads one byte in the background to notice the close. Once
+// that byte is the first one of the next request, it reads no further until the request that
+// runs has been answered. From then on this connection reads ahead into a bounded buffer.
+type readAheadConn struct {
+	net.Conn
+	// closed ends when the caller has closed the connection.
+	closed context.Context
+	close  context.CancelFunc
+
+	mu      sync.Mutex
+	changed sync.Cond // of the fields below
+	buf     []byte    // bytes that were read ahead
+	err     error     // why reading ahead ended; nil while it continues
+	reading bool      // readAhead runs
+}
+
+func newReadAheadConn(c net.Conn) *readAheadConn {
+	r := &readAheadConn{Conn: c}
+	r.closed, r.close = context.WithCancel(context.Background())
+	r.changed.L = &r.mu
+	return r
+}
+
+// Read returns the bytes that were read ahead, then those of the connection.
+func (c *readAheadConn) Read(p []byte) (int, error) {
+	if n, err, done := c.readBuffered(p); done {
+		return n, err
+	}
+	n, err := c.Conn.Read(p)
+	// net/http reads single bytes only in the background.
+	if n == 1 && len(p) == 1 {
+		c.mu.Lock()
+		c.reading = true
+		c.mu.Unlock()
+		go c.readAhead()
+	}
+	return n, err
+}
+
+// readBuffered waits while bytes are being read ahead. done is false when the connection itself
+// is to be read.
+func (c *readAheadConn) readBuffered(p []byte) (n int, err error, done bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.reading && len(c.buf) == 0 && c.err == nil {
+		c.changed.Wait()
+	}
+	if len(c.buf) > 0 {
+		n = copy(p, c.buf)
+		c.buf = c.buf[n:]
+		return n, nil, true
+	}
+	if err = c.err; err == nil {
+		return 0, nil, false
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The deadline applied to this call of Read; later ones may have another.
+		c.err = nil
+	}
+	return 0, err, true
+}
+
+// readAhead reads until the buffer is full or reading fails.
+func (c *readAheadConn) readAhead() {
+	chunk := make([]byte, 4<<10)
+	for {
+		n, err := c.Conn.Read(chunk)
+		c.mu.Lock()
+		c.buf = append(c.buf, chunk[:n]...)
+		c.err = err
+		c.reading = err == nil && len(c.buf) < maxReadAhead
+		more := c.reading
+		c.changed.Broadcast()
+		c.mu.Unlock()
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.close()
+		}
+		if !more {
+			return
+		}
+	}
+}
+
+// Close closes the connection.
+func (c *readAheadConn) Close() error {
+	c.close()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending side, with which net/http lets the last answer arrive before it
+// closes the connection.
+func (c *readAheadConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// connKey is the key of the caller's connection in the context of a request.
+type connKey struct{}
+
+// withConn is the ConnContext of the server of callers.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// endWithConn returns r with a context that also ends when its caller closes the connection
+// behind pipelined requests, and a function that releases it.
+func endWithConn(r *http.Request) (*http.Request, context.CancelFunc) {
+	c, ok := r.Context().Value(connKey{}).(*readAheadConn)
+	if !ok {
+		return r, func() {}
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	stop := context.AfterFunc(c.closed, cancel)
+	return r.WithContext(ctx), func() {
+		stop()
+		cancel()
+	}
+}
--- a/node/command/server.go
+++ b/node/command/server.go
@@ -70,6 +70,7 @@
 			MaxHeaderBytes:    serverHeaderBytes,
 			Protocols:         protocols,
 			ErrorLog:          cfg.ErrorLog,
+			ConnContext:       withConn,
 			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		},
 	}
@@ -91,7 +92,7 @@
 // Serve accepts connections on l until Shutdown or Close is called, and then
 // returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
+	err := s.http.Serve(readAheadListener{l})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
