--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -59,6 +59,9 @@
 	// the same holder; see member.Seats. With 0 there are no seats, and the VMs are
 	// ranked for each shard separately.
 	Seats int
+	// MaxSeats bounds the number of seats, because each VM exchanges fast heartbeats with
+	// the holder of each. Default: member.ShardCount.
+	MaxSeats int
 	// Quorum returns the number of grants that make a lease exclusive among n members.
 	// Default: member.Quorum.
 	Quorum func(n int) int
@@ -88,6 +91,9 @@
 	if c.Wait == 0 {
 		c.Wait = c.GrantRetention
 	}
+	if c.MaxSeats == 0 {
+		c.MaxSeats = member.ShardCount
+	}
 	if c.Quorum == nil {
 		c.Quorum = member.Quorum
 	}
--- a/core/lease/state.go
+++ b/core/lease/state.go
@@ -26,7 +26,7 @@
 	position       [member.ShardCount][]uint16 // rank by member index
 	candidates     []bool                      // by member index: among the next to hold a seat
 	claiming       []int                       // member indexes with claims, ascending
-	vacancies      [member.ShardCount]vacancy // by seat
+	vacancies      [member.ShardCount]vacancy  // by seat
 	recentLists    []adoptedList
 	removedAt      map[string]time.Time
 	startedAt      time.Time
@@ -177,7 +177,7 @@
 func (s *State) rank() {
 	s.seats = 0
 	if s.cfg.Seats > 0 {
-		s.seats = member.Seats(s.list.Len(), s.cfg.Seats)
+		s.seats = min(member.Seats(s.list.Len(), s.cfg.Seats), s.cfg.MaxSeats)
 	}
 	seats := member.RankSeats(s.list, s.seats)
 	for shard := range member.Shard(member.ShardCount) {
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -97,6 +97,9 @@
 	// cells each gives out only its part of the rate of a workspace, which is below one
 	// token for many of them.
 	seatedCellSize = 384
+	// maxSeats bounds the seats of a cell: each VM exchanges fast heartbeats with the
+	// holder of each seat.
+	maxSeats = 8
 )
 
 // leaseConfig returns the lease configuration. In a fleet with seats, VMs that neither
@@ -105,6 +108,7 @@
 	c := lease.Config{DynamicQuorum: d.selfManagedMembership(), Seats: d.settings.Seats}
 	if c.Seats > 0 {
 		c.Term = seatedLeaseTerm
+		c.MaxSeats = max(maxSeats, c.Seats)
 		c.FastHeartbeats = lease.Timing{Interval: fastInterval, Timeout: fastTimeout}
 		c.SlowHeartbeats = lease.Timing{Interval: slowInterval, Timeout: slowTimeout}
 	}
