peer: unused connections between VMs are closed after 2 s

Cause: a connection to another VM stayed open for a minute after its last call and sent a ping every second, which wakes both VMs several times. After a start each VM has such connections to all VMs with which it exchanged members; a play of 293 VMs counted 336 wakeups a second and VM, and fewer heartbeats and timers did not lower them. Change: the client closes idle connections after 2 s. Calls between VMs that serve keep theirs in use.

--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -25,6 +25,9 @@
 	// or paused, which HTTP/2 would otherwise keep using.
 	pingAfter   = time.Second
 	pingTimeout = time.Second
+	// clientIdleTimeout closes unused connections. Each open one sends a ping every
+	// pingAfter, and in a large fleet a VM calls many others once, to exchange members.
+	clientIdleTimeout = 2 * time.Second
 	// maxClients bounds the table of peers, because the addresses of replaced VMs
 	// accumulate over months.
 	maxClients = 1024
@@ -61,7 +64,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
 		Protocols:       protocols,
-		IdleConnTimeout: idleTimeout,
+		IdleConnTimeout: clientIdleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
