target: the limit of an unverified target is divided by the lent shares

Cause: a target without a recent success may have turned cold without saying so; its limit, unlike that of an announced cold start, was not multiplied by the holder's share of grants, although SetShare promises it. Change: the limit is multiplied by the share.

--- a/core/target/health.go
+++ b/core/target/health.go
@@ -325,7 +325,7 @@
 	if now.Sub(s.health.lastSuccess) < successValidFor {
 		return math.MaxInt
 	}
-	return max(1, int(bound*unverifiedRateShare))
+	return max(1, int(bound*unverifiedRateShare*h.share()))
 }
 
 // recentGrants returns the number of grants within rateWindow.
--- a/core/target/health_test.go
+++ b/core/target/health_test.go
@@ -172,6 +172,30 @@
 	}
 }
 
+// Guards against holders on both sides of a network partition that together send a target which
+// turned cold without announcing it more than it bears: without a recent success it is treated
+// as cold, and each holder used the whole limit.
+func TestUnverifiedTargetGetsShareOfColdLimit(t *testing.T) {
+	const bound = 20
+	sum := 0
+	for seed := range uint64(2) {
+		w := newGraySimulation(seed, document.ByHealthEstimate, 1)
+		w.holder.view.Service.ColdPerSecond = bound
+		w.holder.targets[0].doc.Slots = 100
+		w.holder.SetShare(0.5)
+		for range 900 {
+			w.now = w.now.Add(time.Millisecond)
+			if g, ok := w.holder.Acquire(AcquireRequest{Caller: grayCaller, Hold: time.Second}, w.now); ok {
+				sum++
+				w.holder.Release(grayCaller, []Release{{Permit: g.Permit, Outcome: Error, Latency: time.Millisecond}}, w.now)
+			}
+		}
+	}
+	if sum > bound {
+		t.Errorf("two holders with half of the grants each sent %d requests within a second, want at most %d", sum, bound)
+	}
+}
+
 // Guards against sending non-idempotent requests to a target that is known to be gray
 // because the healthy ones are busy for a moment.
 func TestHealthPlacementWaitsForHealthyTarget(t *testing.T) {
