--- a/review/lab/case_cold.go
+++ b/review/lab/case_cold.go
@@ -22,7 +22,7 @@
 	coldBound = 11*1.5 + 5
 	coldStart = 3 * time.Second
 	// coldDown is how long a server is down before it returns.
-	coldDown = 1500 * time.Millisecond
+	coldDown = time.Second
 )
 
 // runCold: a server ends and starts again under its ID, cold, while the store is down.
@@ -71,7 +71,7 @@
 			l.store.setServes(func(string) bool { return false })
 		}
 		l.log.event("store", "down", "")
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
 		for _, s := range servers[:2] {
 			s.crash()
 			l.log.event("end", s.id, "")
@@ -87,7 +87,7 @@
 			l.log.event("back", again.id, "cold")
 			back = append(back, again)
 		}
-		time.Sleep(2500 * time.Millisecond)
+		time.Sleep(3300 * time.Millisecond)
 		l.store.setServes(nil)
 		l.log.event("store", "up", "")
 	}
