--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,6 +26,7 @@
 	store   *store
 	zones   []string
 	seeds   []int
+	cores   int // that the runtime of each process sees; 0 for all of this machine
 	vms     []*vm
 	log     *record
 }
@@ -154,6 +156,9 @@
 	}
 	cmd := exec.Command(v.fleet.program, "front")
 	cmd.Env = []string{"GALENASAIL_SETTINGS=" + v.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + v.fleet.dir}
+	if v.fleet.cores > 0 {
+		cmd.Env = append(cmd.Env, "GOMAXPROCS="+strconv.Itoa(v.fleet.cores))
+	}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	if err := cmd.Start(); err != nil {
 		return err
