--- a/review/lab/case_poison.go
+++ b/review/lab/case_poison.go
@@ -82,7 +82,8 @@
 			defer clients.Done()
 			c := newClient(l.fleet, l.fleet.zones[i%4], true)
 			for !stop.Load() {
-				c.do(request{method: "GET", path: "/read/" + newID(), key: key, deadline: 2500 * time.Millisecond})
+				res := c.do(request{method: "GET", path: "/read/" + newID(), key: key, deadline: 2500 * time.Millisecond, id: newID()})
+				l.log.eventAt(res.sent, "sent", res.id, fmt.Sprintf("to %s, status %d, error %v", res.address, res.status, res.err))
 				time.Sleep(100 * time.Millisecond)
 			}
 		}()
--- a/review/lab/case_quota.go
+++ b/review/lab/case_quota.go
@@ -102,7 +102,6 @@
 	for _, a := range l.arrived.list() {
 		if at, ok := sent.get(a.id); ok && a.ran {
 			ran = append(ran, span{at, a.at})
-			l.log.eventAt(a.at, "ran", a.id, "on "+a.server+" from "+a.fromIP)
 		}
 	}
 	sort.Slice(ran, func(i, j int) bool { return ran[i].sent.Before(ran[j].sent) })
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net"
@@ -41,27 +42,18 @@
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	started time.Time
-	runs    int
 	touched []time.Time // starts and signals
-	what    []string    // of touched
 }
 
 // newFleet chooses addresses and free ports.
 func newFleet(program, dir string, st *store, base string, size int, zones []string, log *record) (*fleet, error) {
 	f := &fleet{program: program, dir: dir, base: base, store: st, zones: zones, log: log}
+	first, err := freePorts(base)
+	if err != nil {
+		return nil, err
+	}
 	for i := range f.ports {
-		for {
-			port := 20000 + rand.Intn(10000)
-			if i == 4 {
-				port = 20000 + rand.Intn(10000)
-			}
-			l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", base, port))
-			if err == nil {
-				_ = l.Close()
-				f.ports[i] = port
-				break
-			}
-		}
+		f.ports[i] = first + i
 	}
 	for i := range size {
 		f.vms = append(f.vms, &vm{fleet: f, index: i, ip: fmt.Sprintf("%s.%d", base, i+1), zone: zones[i%len(zones)]})
@@ -70,6 +62,31 @@
 	return f, nil
 }
 
+// portBlock is the number of ports of a machine: four of its own and sixteen internal ones.
+const portBlock = 20
+
+// freePorts returns the first of portBlock ports that are free on the first machine.
+func freePorts(base string) (int, error) {
+	for range 50 {
+		first := 20000 + portBlock*rand.Intn(500)
+		if allFree(base, first) {
+			return first, nil
+		}
+	}
+	return 0, errors.New("no free ports")
+}
+
+func allFree(base string, first int) bool {
+	for port := first; port < first+portBlock; port++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", base, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 func (v *vm) name() string { return fmt.Sprintf("front-%s-%d", v.zone, v.index+1) }
 
 func (v *vm) addr(port int) string { return fmt.Sprintf("%s:%d", v.ip, v.fleet.ports[port]) }
@@ -165,8 +182,7 @@
 	}
 	v.mu.Lock()
 	v.cmd, v.ended, v.started = cmd, make(chan struct{}), time.Now()
-	v.touched, v.what = append(v.touched, v.started), append(v.what, "start")
-	v.runs++
+	v.touched = append(v.touched, v.started)
 	ended := v.ended
 	v.mu.Unlock()
 	go func() {
@@ -192,7 +208,7 @@
 	default:
 	}
 	v.mu.Lock()
-	v.touched, v.what = append(v.touched, time.Now()), append(v.what, sig.String())
+	v.touched = append(v.touched, time.Now())
 	v.mu.Unlock()
 	v.fleet.log.event("signal", v.name(), sig.String())
 	_ = cmd.Process.Signal(sig)
@@ -226,13 +242,6 @@
 	return v.start()
 }
 
-// startedAt returns when the present process started.
-func (v *vm) startedAt() time.Time {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.started
-}
-
 // calmAt reports whether the process had run without a start or a signal for
 // stableWindow at the given time.
 func (v *vm) calmAt(at time.Time) bool {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -98,6 +98,7 @@
 	l := &lab{store: st, fleet: f, log: log, arrived: &arrivals{}, base: base, trouble: os.Getenv("TROUBLE") != "0"}
 	log.say("case %s, trouble %v, %d machines", name, l.trouble, c.vms)
 	broken, err := c.run(l)
+	l.recordArrivals()
 	switch {
 	case err != nil:
 		log.say("cannot run: %v", err)
@@ -109,3 +110,10 @@
 	log.say("rule held")
 	return exitHeld
 }
+
+// recordArrivals writes what reached the servers to the record.
+func (l *lab) recordArrivals() {
+	for _, a := range l.arrived.list() {
+		l.log.eventAt(a.at, "arrived", a.id, fmt.Sprintf("at %s, tenant %s, body %d bytes, ran %v", a.server, a.tenant, a.body, a.ran))
+	}
+}
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -25,7 +25,6 @@
 	ran       bool
 	body      int
 	bodyError string
-	fromIP    string
 }
 
 // serverEntry is the entry that a server writes into the store.
@@ -216,15 +215,6 @@
 	}
 }
 
-// drain writes that the server leaves.
-func (s *server) drain() time.Time {
-	s.mu.Lock()
-	s.state = "draining"
-	s.mu.Unlock()
-	s.beat()
-	return time.Now()
-}
-
 // ServeHTTP answers as PROTOCOL.md says of servers.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
@@ -243,8 +233,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	host, _, _ := net.SplitHostPort(r.RemoteAddr)
-	a := &arrival{at: time.Now(), id: id, server: s.id, tenant: r.Header.Get("Tenant"), path: r.URL.Path, fromIP: host}
+	a := &arrival{at: time.Now(), id: id, server: s.id, tenant: r.Header.Get("Tenant"), path: r.URL.Path}
 	s.log.add(a)
 	n, err := io.Copy(io.Discard, r.Body)
 	s.log.set(func() {
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -30,8 +30,6 @@
 	items   map[string]storeItem
 	history []storeItem
 	changed chan struct{}
-	// beforeRange is called before each range read is answered; nil for none.
-	beforeRange func(caller, prefix string)
 	// serves returns false for a caller that the store turns away with 503; nil for none.
 	serves func(caller string) bool
 }
@@ -141,12 +139,6 @@
 func (s *store) readRange(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("Prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
-	before := s.beforeRange
-	s.mu.Unlock()
-	if before != nil {
-		before(callerIP(r), prefix)
-	}
-	s.mu.Lock()
 	page := struct {
 		Items      []storeItem `json:"items"`
 		Truncated  bool
