command: the event about a request describes each of its attempts

The event request_done named the targets of the attempts and nothing else, so it could not tell apart an answer that belongs to an earlier attempt on the same connection, a retry under an older configuration and a write that was undone. It now has for each attempt the target with its address, the ticket that admitted the request and whether it allows a second run, the connection and the number of the request on it, the time of the write, writes that sent nothing, and the result.

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -45,6 +45,9 @@
 	guard      *writeGuard
 	startedAt  time.Time
 	latency    time.Duration // from the first byte written to the start of the answer
+	ticket     uint64        // ticket of the configuration that admitted the request
+	idempotent bool          // whether that configuration allows a second run
+	result     string        // how the attempt ended
 }
 
 // failure describes an attempt that produced no answer to deliver.
@@ -59,7 +62,7 @@
 
 // newAttempt returns an attempt that uses permit p.
 func (ex *exchange) newAttempt(p node.Permit) *attempt {
-	a := &attempt{exchange: ex, permit: p, startedAt: time.Now()}
+	a := &attempt{exchange: ex, permit: p, startedAt: time.Now(), ticket: ex.snapshot.Ticket(), idempotent: ex.idempotent(), result: resultPending}
 	a.ctx, a.cancel = context.WithCancel(ex.ctx)
 	a.guard = &writeGuard{check: a.checkBeforeWrite, checkHeader: a.checkHeader, method: ex.r.Method, echo: requestEcho{ex.h.cfg.Dialect.RequestID, ex.id}}
 	if !ex.idempotent() {
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -40,7 +40,7 @@
 	possibleRuns   int             // attempts in which the target may have run the request
 	totalAttempts  int             // all attempts, including those that provably did not run
 	mayHaveArrived bool            // the request may have reached a target
-	triedTargets   []string        // targets of all attempts
+	attempts       []*attempt      // all attempts, in the order of their start
 	failedTargets  []string        // targets that later attempts avoid
 	ran            fault.Ran       // strongest statement over all attempts
 	externalTime   time.Duration   // time spent in targets and in reading the caller's body
--- a/node/command/hedge.go
+++ b/node/command/hedge.go
@@ -46,8 +46,8 @@
 func (ex *exchange) startAttempt(p node.Permit, results chan<- attemptResult) *attempt {
 	ex.possibleRuns++
 	ex.totalAttempts++
-	ex.triedTargets = append(ex.triedTargets, p.Target().ID)
 	a := ex.newAttempt(p)
+	ex.attempts = append(ex.attempts, a)
 	go func() {
 		resp, f := a.send()
 		results <- attemptResult{a, resp, f}
@@ -89,6 +89,7 @@
 			running = nil
 		}
 	}
+	a.endedWith(f)
 	if f == nil {
 		ex.externalTime += a.targetTime
 		return nil, true
--- a/node/command/report.go
+++ b/node/command/report.go
@@ -52,8 +52,8 @@
 	}
 	detail := fmt.Sprintf("%s, route %q, workspace %q, %d attempts, %.1f ms, waited %.1f ms for a token and %.1f ms for a target",
 		what, routeID, ex.workspaceID(), ex.totalAttempts, milliseconds(time.Since(ex.start)), milliseconds(ex.tokenWait), milliseconds(ex.permitWait))
-	if len(ex.triedTargets) > 0 {
-		detail += fmt.Sprintf(", targets %v", ex.triedTargets)
+	for i, a := range ex.attempts {
+		detail += fmt.Sprintf("; attempt %d: %s", i+1, a.describe())
 	}
 	if n := reporter.suppressed.Swap(0); n > 0 {
 		detail += fmt.Sprintf(", %d earlier requests not recorded", n)
--- a/node/command/report_test.go
+++ b/node/command/report_test.go
@@ -1,7 +1,10 @@
 package command
 
 import (
+	"fmt"
+	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -39,3 +42,22 @@
 		}
 	}
 }
+
+// Guards against an event from which the attempts of a request cannot be told apart.
+func TestEventDescribesEachAttempt(t *testing.T) {
+	shed := startRaw(t, func(_ int64, r *http.Request, c net.Conn) bool {
+		return write(c, withEcho(r, "HTTP/1.1 503 Busy\r\nGalenasail-Shed: not-run\r\nContent-Length: 0\r\n\r\n"))
+	})
+	f := startHarnessAt(t, shed.address, shed.address)
+	f.wantKind(f.do("POST", "/post/x", ""), fault.NoCapacity)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	events := strings.Join(f.events, "\n")
+	for n, id := range []string{"citas-01", "citas-02"} {
+		want := fmt.Sprintf(`attempt %d: %s at %s, ticket 1, idempotent false, written at \d+\.\d ms as request \d of connection \d+, `+
+			`answered after \d+\.\d ms, failed at \d+\.\d ms, ran no: overloaded`, n+1, id, shed.address)
+		if !regexp.MustCompile(want).MatchString(events) {
+			t.Errorf("no text like %q in %q", want, events)
+		}
+	}
+}
--- a/node/command/targetconn.go
+++ b/node/command/targetconn.go
@@ -11,7 +11,7 @@
 // so that bytes in the kernel's receive buffer are detected before a request is
 // written.
 func newTargetConn(conn net.Conn) *targetConn {
-	c := &targetConn{Conn: conn}
+	c := &targetConn{Conn: conn, number: lastConnNumber.Add(1)}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// If this fails, raw is nil and readAndParse uses Conn.Read.
 		c.raw, _ = tcp.SyscallConn()
@@ -21,15 +21,16 @@
 
 // beginAnswer prepares to parse the answer to a request. It returns errUnsolicited
 // unless the connection is exactly at the end of the previous answer, which repeated the ID
-// of its request.
-func (c *targetConn) beginAnswer(method string, echo requestEcho) error {
+// of its request. It returns the number of the request on the connection.
+func (c *targetConn) beginAnswer(method string, echo requestEcho) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unsolicited.Load() || c.framing != nil && !c.framing.reusable() || c.hasUnread() {
-		return errUnsolicited
+		return 0, errUnsolicited
 	}
 	c.framing = newFraming(method, echo)
-	return nil
+	c.requests++
+	return c.requests, nil
 }
 
 // hasUnread reports whether the kernel's receive buffer holds unread bytes or an
--- a/node/command/transport.go
+++ b/node/command/transport.go
@@ -65,7 +65,8 @@
 // an HTTP/1.1 response does not identify its request.
 type targetConn struct {
 	net.Conn
-	guard atomic.Pointer[writeGuard]
+	number uint64 // identifies the connection in events
+	guard  atomic.Pointer[writeGuard]
 	// unsolicited is set once bytes were received that belong to no request. net/http
 	// would parse them as the answer to the next request.
 	unsolicited atomic.Bool
@@ -73,11 +74,15 @@
 	// processStart; 0 for a new connection.
 	lastUsed atomic.Int64
 
-	mu      sync.Mutex
-	framing *framing // parser of the latest answer; nil before the first request
-	raw     syscall.RawConn
+	mu       sync.Mutex
+	framing  *framing // parser of the latest answer; nil before the first request
+	requests int      // requests begun on the connection
+	raw      syscall.RawConn
 }
 
+// lastConnNumber is the number of the newest connection to a target.
+var lastConnNumber atomic.Uint64
+
 // processStart is the origin of monotonic times that are stored as integers.
 var processStart = time.Now()
 
--- a/node/command/writeguard.go
+++ b/node/command/writeguard.go
@@ -33,17 +33,19 @@
 	// limit.
 	maxIdle time.Duration
 
-	mu           sync.Mutex
-	conn         *targetConn
-	started      bool   // a byte may have been written
-	answered     bool   // a byte of the answer was received
-	connUnusable bool   // the connection of the last write could not be used
-	firstByte    bool   // the write in progress includes the first byte
-	header       []byte // earlier chunks of a header that spans several writes
-	headerDone   bool
-	closed       bool      // the attempt has ended
-	refusal      error     // error that prevented the write
-	writtenAt    time.Time // time of the first write; zero if there was none
+	mu            sync.Mutex
+	conn          *targetConn
+	requestOnConn int    // number of the request on conn, from 1
+	undone        int    // first writes that sent nothing
+	started       bool   // a byte may have been written
+	answered      bool   // a byte of the answer was received
+	connUnusable  bool   // the connection of the last write could not be used
+	firstByte     bool   // the write in progress includes the first byte
+	header        []byte // earlier chunks of a header that spans several writes
+	headerDone    bool
+	closed        bool      // the attempt has ended
+	refusal       error     // error that prevented the write
+	writtenAt     time.Time // time of the first write; zero if there was none
 }
 
 // allowWrite returns nil if p may be written to c, else the reason why not.
@@ -62,10 +64,12 @@
 		return errIdleTooLong
 	}
 	if !g.started {
-		if err := c.beginAnswer(g.method, g.echo); err != nil {
+		number, err := c.beginAnswer(g.method, g.echo)
+		if err != nil {
 			g.connUnusable = true
 			return err
 		}
+		g.requestOnConn = number
 		if g.refusal = g.check(); g.refusal != nil {
 			return g.refusal
 		}
@@ -118,6 +122,7 @@
 		g.header = nil
 		g.writtenAt = time.Time{}
 		g.conn = nil
+		g.undone++
 	}
 }
 
