command: only the newest attempt reads the rest of a caller's body

The attempts of a request share its body. An attempt that ended by an early answer could still read from the caller between the check that the body can be sent again and the end of its connection. The next attempt then sent a body with a gap; without a length announced (chunked) the target could not notice it.

Change: the body of the newest attempt is the only one that reads from the caller, and an attempt whose predecessor had begun to read ends with an error instead of a gap.

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -181,7 +181,7 @@
 			}
 		}
 	}
-	req.Body = &attemptBody{body: b, onEOF: func() { a.copyTrailer(req.Trailer) }}
+	req.Body = b.forAttempt(func() { a.copyTrailer(req.Trailer) })
 }
 
 // replayedByTransport reports whether net/http replays requests of this method.
--- a/node/command/body.go
+++ b/node/command/body.go
@@ -24,6 +24,7 @@
 
 var (
 	errBodyDetached = errors.New("read of the caller's body after its request has ended")
+	errBodyTaken    = errors.New("the rest of the caller's body belongs to another attempt")
 	errBodyTooLarge = errors.New("the body is larger than the route allows")
 )
 
@@ -40,8 +41,9 @@
 	eof      atomic.Bool // source was read to its end
 	mu       sync.Mutex
 	source   io.ReadCloser
-	consumed int64 // bytes read from source
-	readErr  error // error that ended source early
+	consumed int64        // bytes read from source
+	reader   *attemptBody // body of the newest attempt, the only one that may read from source
+	readErr  error        // error that ended source early
 }
 
 // readBody reads the prefix of the body. An error means that nothing was sent to a
@@ -147,13 +149,30 @@
 	return b.buffered || b.eof.Load()
 }
 
-// readSource reads from the caller's connection and enforces the limit.
-func (b *callerBody) readSource(p []byte) (int, error) {
+// forAttempt returns the body for the newest attempt and calls onEOF at its end. The bodies of
+// earlier attempts get no further bytes.
+func (b *callerBody) forAttempt(onEOF func()) *attemptBody {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reader = &attemptBody{body: b, onEOF: onEOF, gap: b.consumed > int64(len(b.prefix))}
+	return b.reader
+}
+
+// readSource reads from the caller's connection for the attempt with body a and enforces the
+// limit.
+func (b *callerBody) readSource(a *attemptBody, p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.detached.Load() {
 		return 0, errBodyDetached
 	}
+	if a != b.reader {
+		return 0, errBodyTaken
+	}
+	if a.gap {
+		b.readErr = errBodyTaken
+		return 0, errBodyTaken
+	}
 	n, err := b.source.Read(p)
 	b.consumed += int64(n)
 	if b.consumed > b.limit {
@@ -172,6 +191,7 @@
 	body   *callerBody
 	offset int
 	onEOF  func()
+	gap    bool // an earlier attempt has read bytes that follow the prefix
 }
 
 // Read implements io.Reader. At the end of the body it calls onEOF.
@@ -183,7 +203,7 @@
 	}
 	n, err := 0, io.EOF
 	if !a.body.buffered {
-		n, err = a.body.readSource(p)
+		n, err = a.body.readSource(a, p)
 	}
 	if err == io.EOF {
 		a.onEOF()
--- /dev/null
+++ b/node/command/body_test.go
@@ -0,0 +1,37 @@
+package command
+
+import (
+	"io"
+	"strings"
+	"testing"
+)
+
+// Guards against an attempt that has ended and still takes bytes of the body from the next one.
+func TestEndedAttemptTakesNoBytesOfTheBody(t *testing.T) {
+	const prefix, rest = "prefix,", "rest"
+	f := startHarnessAt(t, "127.0.0.1:1")
+	ex := f.newExchange("POST", "/post/x")
+	ex.body = &callerBody{prefix: []byte(prefix), consumed: int64(len(prefix)), length: -1, limit: 100, source: io.NopCloser(strings.NewReader(rest))}
+	bodyOf := func() io.Reader { return ex.newAttempt(&fakePermit{harness: f}).request().Body }
+	ended, next := bodyOf(), bodyOf()
+	if got, err := io.ReadAll(ended); string(got) != prefix || err == nil {
+		t.Errorf("the ended attempt read %q, error %v; want %q and an error", got, err, prefix)
+	}
+	if got, err := io.ReadAll(next); string(got) != prefix+rest || err != nil {
+		t.Errorf("the next attempt read %q, error %v; want %q", got, err, prefix+rest)
+	}
+}
+
+// Guards against an attempt that sends a body with a gap, because the one before it had begun to read the rest.
+func TestBodyBegunByAnEarlierAttemptIsNotSentWithAGap(t *testing.T) {
+	f := startHarnessAt(t, "127.0.0.1:1")
+	ex := f.newExchange("POST", "/post/x")
+	ex.body = &callerBody{prefix: []byte("prefix,"), consumed: 7, length: -1, limit: 100, source: io.NopCloser(strings.NewReader("rest"))}
+	first := ex.newAttempt(&fakePermit{harness: f}).request().Body
+	if _, err := io.ReadFull(first, make([]byte, 9)); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(ex.newAttempt(&fakePermit{harness: f}).request().Body); err == nil {
+		t.Errorf("the second attempt read %q without an error", got)
+	}
+}
