command: a route that became non-idempotent allows no second run

What callers would see: a request that is admitted while its route is idempotent runs a second time, by a retry or a hedged attempt, although the configuration in force says that it may run once. Not seen on the users' machines.

Cause: the exchange kept the route of admission; before a write only the key was checked again. Change: a retry and a hedged attempt need a configuration in force that still allows a second run, and the attempt checks it again at its first byte. A configuration without a route for the request leaves the kind as it was.

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -38,6 +38,8 @@
 	permit   node.Permit
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// secondRun is true when an earlier attempt of the request may have run or may still run.
+	secondRun bool
 	// abandoned is set once another attempt has answered the request.
 	abandoned atomic.Bool
 	// targetTime is the time spent waiting for the target.
@@ -292,6 +294,9 @@
 	if err := a.exchange.checkSingleRun(); err != nil {
 		return err
 	}
+	if a.secondRun && !a.exchange.stillIdempotent() {
+		return fault.New(fault.OutcomeUnknown, "the route is no longer idempotent and an earlier attempt may have run")
+	}
 	if err := a.permit.Check(); err != nil {
 		return err
 	}
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/galenasail/galenasail/core/document"
 	"github.com/galenasail/galenasail/core/fault"
 	"github.com/galenasail/galenasail/node"
 )
@@ -155,7 +156,7 @@
 	case retryWithinBudget:
 		return ex.h.retryBudgets.forService(ex.service.Name).takeRetry()
 	case retryIfIdempotent:
-		return ex.idempotent() && ex.h.retryBudgets.forService(ex.service.Name).takeRetry()
+		return ex.allowsSecondRun() && ex.h.retryBudgets.forService(ex.service.Name).takeRetry()
 	}
 	return false
 }
@@ -179,10 +180,37 @@
 // idempotent reports whether running the request twice has the same effect as running
 // it once: as configured for the route, else by method (RFC 9110, section 9.2.2).
 func (ex *exchange) idempotent() bool {
-	if ex.route.Idempotent != nil {
-		return *ex.route.Idempotent
+	return isIdempotent(ex.route, ex.r.Method)
+}
+
+// isIdempotent reports whether requests of a method to rt are idempotent.
+func isIdempotent(rt *document.Route, method string) bool {
+	if rt.Idempotent != nil {
+		return *rt.Idempotent
 	}
-	switch ex.r.Method {
+	return isIdempotentMethod(method)
+}
+
+// allowsSecondRun reports whether the request may run a second time: under the configuration
+// that admitted it and under the one in force.
+func (ex *exchange) allowsSecondRun() bool {
+	return ex.idempotent() && ex.stillIdempotent()
+}
+
+// stillIdempotent reports whether the configuration in force does not make the request
+// non-idempotent. One without a route for the request leaves its kind unchanged.
+func (ex *exchange) stillIdempotent() bool {
+	current := ex.h.currentIndex()
+	if current == nil || current.snapshot == ex.snapshot {
+		return true
+	}
+	rt, ok := current.routes.Match(ex.r.Host, ex.r.Method, ex.r.URL.Path)
+	return !ok || isIdempotent(rt, ex.r.Method)
+}
+
+// isIdempotentMethod reports whether requests of a method are idempotent (RFC 9110, section 9.2.2).
+func isIdempotentMethod(method string) bool {
+	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
 		return true
 	}
@@ -211,7 +239,7 @@
 // hedgePermit acquires the permit for a hedged attempt. It returns nil if the limits of
 // the request, the retry budget or the targets do not allow one.
 func (ex *exchange) hedgePermit(first node.Permit) node.Permit {
-	if !ex.mayAttempt() {
+	if !ex.mayAttempt() || !ex.allowsSecondRun() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ex.ctx, hedgePermitWait)
--- a/node/command/hedge.go
+++ b/node/command/hedge.go
@@ -44,9 +44,10 @@
 
 // startAttempt starts an attempt in a new goroutine, which sends its result to results.
 func (ex *exchange) startAttempt(p node.Permit, results chan<- attemptResult) *attempt {
+	a := ex.newAttempt(p)
+	a.secondRun = ex.possibleRuns > 0
 	ex.possibleRuns++
 	ex.totalAttempts++
-	a := ex.newAttempt(p)
 	ex.attempts = append(ex.attempts, a)
 	go func() {
 		resp, f := a.send()
