command: an early refusal does not wait for the rest of the caller's body

Cause: the check whether the body can be sent again took the lock that a blocked read from the caller holds. Change: the state of the body has a lock of its own, and a body counts as begun once an attempt starts to read beyond the prefix.

--- a/node/command/body.go
+++ b/node/command/body.go
@@ -39,9 +39,12 @@
 
 	detached atomic.Bool
 	eof      atomic.Bool // source was read to its end
-	mu       sync.Mutex
+	reading  sync.Mutex  // held during a read from source
 	source   io.ReadCloser
+
+	mu       sync.Mutex
 	consumed int64        // bytes read from source
+	begun    bool         // an attempt has begun to read what follows the prefix
 	reader   *attemptBody // body of the newest attempt, the only one that may read from source
 	readErr  error        // error that ended source early
 }
@@ -116,7 +119,7 @@
 func (b *callerBody) replayable() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.buffered || b.consumed == int64(len(b.prefix))
+	return b.buffered || !b.begun
 }
 
 // readError returns the error that ended the body early, or nil.
@@ -136,11 +139,11 @@
 		return
 	}
 	b.detached.Store(true)
-	if !b.mu.TryLock() {
+	if !b.reading.TryLock() {
 		_ = b.control.SetReadDeadline(time.Now())
-		b.mu.Lock()
+		b.reading.Lock()
 	}
-	b.mu.Unlock()
+	b.reading.Unlock()
 }
 
 // fullyRead reports whether the body was read to its end. If not, an HTTP/1.1
@@ -154,26 +157,45 @@
 func (b *callerBody) forAttempt(onEOF func()) *attemptBody {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reader = &attemptBody{body: b, onEOF: onEOF, gap: b.consumed > int64(len(b.prefix))}
+	b.reader = &attemptBody{body: b, onEOF: onEOF, gap: b.begun}
 	return b.reader
 }
 
 // readSource reads from the caller's connection for the attempt with body a and enforces the
 // limit.
 func (b *callerBody) readSource(a *attemptBody, p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if err := b.beginRead(a); err != nil {
+		return 0, err
+	}
+	n, err := b.source.Read(p)
+	return n, b.endRead(n, err)
+}
+
+// beginRead returns an error unless the attempt with body a may read from source.
+func (b *callerBody) beginRead(a *attemptBody) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.detached.Load() {
-		return 0, errBodyDetached
+		return errBodyDetached
 	}
 	if a != b.reader {
-		return 0, errBodyTaken
+		return errBodyTaken
 	}
 	if a.gap {
 		b.readErr = errBodyTaken
-		return 0, errBodyTaken
+		return errBodyTaken
 	}
-	n, err := b.source.Read(p)
+	b.begun = true
+	return nil
+}
+
+// endRead records a read of n bytes that ended with err, and returns err or the error of a
+// body above the limit.
+func (b *callerBody) endRead(n int, err error) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.consumed += int64(n)
 	if b.consumed > b.limit {
 		err = errBodyTooLarge
@@ -182,7 +204,7 @@
 	if err != nil && err != io.EOF {
 		b.readErr = err
 	}
-	return n, err
+	return err
 }
 
 // attemptBody reads the body for one attempt: first the prefix, then the rest. The
--- a/node/command/body_test.go
+++ b/node/command/body_test.go
@@ -1,9 +1,13 @@
 package command
 
 import (
+	"github.com/galenasail/galenasail/core/fault"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against an attempt that has ended and still takes bytes of the body from the next one.
@@ -35,3 +39,22 @@
 		t.Errorf("the second attempt read %q without an error", got)
 	}
 }
+
+// Guards against an early refusal that reaches the caller only when it sends more of its body.
+func TestEarlyRefusalDoesNotWaitForTheRestOfTheBody(t *testing.T) {
+	shed := startRaw(t, func(_ int64, r *http.Request, c net.Conn) bool {
+		time.Sleep(20 * time.Millisecond) // the attempt reads on meanwhile
+		return write(c, withEcho(r, shedAnswer))
+	})
+	f := startHarnessAt(t, shed.address)
+	sent, rest := io.Pipe()
+	t.Cleanup(func() { _ = rest.Close() })
+	body := io.MultiReader(strings.NewReader(strings.Repeat("x", prefixBytes)), sent)
+	began := time.Now()
+	a := f.doOver(false, "POST", "/post/x", body, nil, "X-Early: 1")
+	t.Log(time.Since(began))
+	f.wantKind(a, fault.Overloaded)
+	if time.Since(began) > time.Second {
+		t.Errorf("answered after %v, want at once", time.Since(began))
+	}
+}
