command: a connection to a target carries each request ID at most once

What callers would see: the answer of another caller, or 503 "not run" for a request that ran, if two requests have the same ID and the target sends its answer to the first one again, late. Where callers choose IDs (AcceptRequestIDs) nothing keeps two workspaces from choosing the same.

Cause: as before, answers are matched by an ID that does not name one request on one connection; the list of connections by request covered attempts only.

--- a/node/command/answer_test.go
+++ b/node/command/answer_test.go
@@ -158,7 +158,7 @@
 	if n, err := c.Read(make([]byte, 9)); n != 0 || err != errUnsolicited {
 		t.Fatalf("read %d bytes, error %v; want 0 bytes and errUnsolicited", n, err)
 	}
-	c.guard.Store(&writeGuard{conns: &attemptConns{}, check: func() error { return nil }})
+	c.guard.Store(&writeGuard{check: func() error { return nil }})
 	if _, err := c.Write([]byte("GET")); err != errUnsolicited {
 		t.Fatalf("write after unsolicited bytes: error %v, want errUnsolicited", err)
 	}
--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -66,7 +66,7 @@
 func (ex *exchange) newAttempt(p node.Permit) *attempt {
 	a := &attempt{exchange: ex, permit: p, startedAt: time.Now(), ticket: ex.snapshot.Ticket(), idempotent: ex.idempotent(), result: resultPending}
 	a.ctx, a.cancel = context.WithCancel(ex.ctx)
-	a.guard = &writeGuard{check: a.checkBeforeWrite, checkHeader: a.checkHeader, method: ex.r.Method, echo: requestEcho{ex.h.cfg.Dialect.RequestID, ex.id}, conns: &ex.conns}
+	a.guard = &writeGuard{check: a.checkBeforeWrite, checkHeader: a.checkHeader, method: ex.r.Method, echo: requestEcho{ex.h.cfg.Dialect.RequestID, ex.id}}
 	if !ex.idempotent() {
 		a.guard.maxIdle = maxIdleNonIdempotent
 	}
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -41,7 +41,6 @@
 	totalAttempts  int             // all attempts, including those that provably did not run
 	mayHaveArrived bool            // the request may have reached a target
 	attempts       []*attempt      // all attempts, in the order of their start
-	conns          attemptConns    // connections of all attempts
 	failedTargets  []string        // targets that later attempts avoid
 	ran            fault.Ran       // strongest statement over all attempts
 	externalTime   time.Duration   // time spent in targets and in reading the caller's body
--- a/node/command/targetconn.go
+++ b/node/command/targetconn.go
@@ -4,7 +4,10 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"syscall"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // newTargetConn wraps conn. A TCP connection also provides access to its socket,
@@ -19,18 +22,29 @@
 	return c
 }
 
-// beginAnswer prepares to parse the answer to a request. It returns errUnsolicited
-// unless the connection is exactly at the end of the previous answer, which repeated the ID
-// of its request. It returns the number of the request on the connection.
+// maxRequestsPerConn bounds the request IDs that a connection remembers.
+const maxRequestsPerConn = 1000
+
+// beginAnswer prepares to parse the answer to a request and returns the number of the request
+// on the connection. It returns errUnsolicited unless the connection is exactly at the end of
+// the previous answer, which repeated the ID of its request, and errCarriedID or errWornOut if
+// an answer to the request could not be told from others or no more IDs are remembered.
 func (c *targetConn) beginAnswer(method string, echo requestEcho) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unsolicited.Load() || c.framing != nil && !c.framing.reusable() || c.hasUnread() {
 		return 0, errUnsolicited
 	}
+	id := xxhash.Sum64String(echo.id)
+	if slices.Contains(c.ids, id) {
+		return 0, errCarriedID
+	}
+	if len(c.ids) == maxRequestsPerConn {
+		return 0, errWornOut
+	}
+	c.ids = append(c.ids, id)
 	c.framing = newFraming(method, echo)
-	c.requests++
-	return c.requests, nil
+	return len(c.ids), nil
 }
 
 // hasUnread reports whether the kernel's receive buffer holds unread bytes or an
--- a/node/command/transport.go
+++ b/node/command/transport.go
@@ -62,7 +62,8 @@
 // Bytes received before a request is written are never treated as its answer. A
 // duplicate answer that is received later is detected by the request ID that targets
 // repeat. A connection whose last answer did not repeat it gets no further request, because
-// an HTTP/1.1 response does not identify its request.
+// an HTTP/1.1 response does not identify its request. A connection carries each request ID at
+// most once, because the attempts of a request share its ID and callers may choose IDs.
 type targetConn struct {
 	net.Conn
 	number uint64 // identifies the connection in events
@@ -74,10 +75,10 @@
 	// processStart; 0 for a new connection.
 	lastUsed atomic.Int64
 
-	mu       sync.Mutex
-	framing  *framing // parser of the latest answer; nil before the first request
-	requests int      // requests begun on the connection
-	raw      syscall.RawConn
+	mu      sync.Mutex
+	framing *framing // parser of the latest answer; nil before the first request
+	ids     []uint64 // hashes of the IDs of all requests on the connection
+	raw     syscall.RawConn
 }
 
 // lastConnNumber is the number of the newest connection to a target.
--- a/node/command/writeguard.go
+++ b/node/command/writeguard.go
@@ -8,12 +8,13 @@
 )
 
 var (
-	errNoRequest      = errors.New("write on a target connection that has no request")
-	errReplay         = errors.New("transport tried to write the request a second time")
-	errUnsolicited    = errors.New("target sent bytes that belong to no request")
-	errAttemptEnded   = errors.New("write after the attempt has ended")
-	errIdleTooLong    = errors.New("connection was idle too long for a non-idempotent request")
-	errEarlierAttempt = errors.New("connection was used by an earlier attempt of the same request")
+	errNoRequest    = errors.New("write on a target connection that has no request")
+	errReplay       = errors.New("transport tried to write the request a second time")
+	errUnsolicited  = errors.New("target sent bytes that belong to no request")
+	errAttemptEnded = errors.New("write after the attempt has ended")
+	errIdleTooLong  = errors.New("connection was idle too long for a non-idempotent request")
+	errCarriedID    = errors.New("connection has carried a request with the same ID")
+	errWornOut      = errors.New("connection has carried the maximum number of requests")
 )
 
 // writeGuard controls the writes of one attempt. It runs the final checks
@@ -30,8 +31,6 @@
 	// method is the method of the request, echo how its answer repeats the request ID.
 	method string
 	echo   requestEcho
-	// conns holds the connections of all attempts of the request.
-	conns *attemptConns
 	// maxIdle is the longest idle time of a connection that may be used; 0 means no
 	// limit.
 	maxIdle time.Duration
@@ -65,9 +64,6 @@
 	case !g.started && g.maxIdle > 0 && c.idle() > g.maxIdle:
 		g.connUnusable = true
 		return errIdleTooLong
-	case !g.started && g.conns.contains(c):
-		g.connUnusable = true
-		return errEarlierAttempt
 	}
 	if !g.started {
 		number, err := c.beginAnswer(g.method, g.echo)
@@ -87,7 +83,6 @@
 	g.firstByte = !g.started
 	if !g.started {
 		g.writtenAt = time.Now()
-		g.conns.add(c)
 	}
 	g.started = true
 	g.conn = c
