command: an answer that begins with bytes of another one is not delivered

What callers would see: a request that ran is answered 503 "not run" or sent once more (refusal, once), or one that was refused is answered 200.

Cause: a target sends the start of a second copy of its last answer and then the answer to the next request. net/http parses both as one header: the status of the copy, and the ID of the request from the answer behind it, so the check of the ID passes. The class is the same: the ID in a header block does not show that all of the block belongs to the request.

Change: an answer whose reason phrase or header values hold the start of a status line (HTTP/1.x and three digits) is unusable, "may have run", and its connection is not used again. Bytes that end anywhere else break the syntax and were refused before.

--- a/node/command/answer.go
+++ b/node/command/answer.go
@@ -66,6 +66,9 @@
 // says the request did not run, that is not confirmed to come from the target, that has a
 // Content-Encoding which the caller did not request, or whose end cannot be verified.
 func (a *attempt) validateAnswer(resp *http.Response) *failure {
+	if mergedAnswers(resp) {
+		return a.unusableFailure("the answer of the target begins with bytes of another one")
+	}
 	d := a.exchange.h.cfg.Dialect
 	echo := resp.Header.Get(d.RequestID)
 	if echo != a.exchange.id && (echo != "" || d.RequireRequestIDEcho) {
--- a/node/command/framing.go
+++ b/node/command/framing.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -122,7 +124,7 @@
 	}
 	status, err := strconv.Atoi(fields[1])
 	f.state = frameHeader
-	if err != nil {
+	if err != nil || containsStatusLine(line[1:]) {
 		f.state = frameUnknown
 	}
 	f.status = status
@@ -138,6 +140,9 @@
 	if f.echo.header != "" && strings.EqualFold(name, f.echo.header) {
 		f.echoed = value == f.echo.id
 	}
+	if containsStatusLine(value) {
+		f.state = frameUnknown
+	}
 	switch strings.ToLower(name) {
 	case "content-length":
 		n, err := strconv.ParseInt(value, 10, 64)
@@ -150,6 +155,29 @@
 	}
 }
 
+// statusLineStart matches the start of an HTTP/1 status line.
+var statusLineStart = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// containsStatusLine reports whether s, the rest of a status line or the value of a header,
+// contains the start of a status line: bytes that were left on the connection and the answer
+// behind them are then parsed as one answer.
+func containsStatusLine(s string) bool {
+	return strings.Contains(s, "HTTP/1.") && statusLineStart.MatchString(s)
+}
+
+// mergedAnswers reports whether the header of resp contains the status line of another answer.
+func mergedAnswers(resp *http.Response) bool {
+	if containsStatusLine(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, containsStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *framing) endHeader() {
 	interim := f.status >= 100 && f.status < 200
 	switch {
