command: an attempt that has ended takes no bytes while its retry waits

What callers saw: 502 for a request that ran nowhere, blamed on the caller ("the request body of the caller ended early").

Cause: between the decision to retry and the body of the next attempt, which includes the wait for a permit, the ended attempt was still the reader of the caller's body. Change: the end of an attempt ends its reads, before the decision whether to retry.

--- a/node/command/body.go
+++ b/node/command/body.go
@@ -161,6 +161,14 @@
 	return b.reader
 }
 
+// endAttempt ends the reads of the newest attempt, so that the body can be sent again by the
+// next one.
+func (b *callerBody) endAttempt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reader = nil
+}
+
 // readSource reads from the caller's connection for the attempt with body a and enforces the
 // limit.
 func (b *callerBody) readSource(a *attemptBody, p []byte) (int, error) {
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -32,7 +32,7 @@
 		if f == nil {
 			return nil
 		}
-		if !f.retryApproved && !ex.mayRetry(f) {
+		if !f.retryApproved && !ex.mayRetry(f) || !ex.body.replayable() {
 			return f.err
 		}
 		ex.h.cfg.Metrics.Retried(ex.service.Name)
@@ -127,6 +127,7 @@
 
 // recordFailure records the failure of an attempt and releases its permit.
 func (ex *exchange) recordFailure(a *attempt, f *failure) {
+	ex.body.endAttempt()
 	a.permit.Release(f.outcome, a.latency)
 	ex.externalTime += a.targetTime
 	ex.ran = max(ex.ran, f.ran)
