command: the check of a hedged attempt does not race with the end of the first one

Cause: checkSingleRun read the strongest outcome so far before it asked whether the request is idempotent; for a hedged attempt the exchange writes that outcome in another goroutine. Change: an idempotent request, the only one with two attempts at a time, is not asked for it.

Measured: go test -race -run TestHedgedAttemptIsCheckedWhileTheFirstOneEnds reports a data race without the change and passes in 3 of 3 runs with it.

--- a/node/command/hedge_test.go
+++ b/node/command/hedge_test.go
@@ -5,9 +5,11 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/galenasail/galenasail/core/fault"
 	"github.com/galenasail/galenasail/node"
 )
 
@@ -78,3 +80,18 @@
 	defer f.mu.Unlock()
 	return maps.Clone(f.outcomeOf)
 }
+
+// Guards against a data race between the final check of a hedged attempt and the end of the first one.
+func TestHedgedAttemptIsCheckedWhileTheFirstOneEnds(t *testing.T) {
+	f := startHarnessAt(t, "127.0.0.1:1")
+	ex := f.newExchange(http.MethodGet, "/get/x")
+	first, second := ex.newAttempt(&fakePermit{harness: f}), ex.newAttempt(&fakePermit{harness: f})
+	var check sync.WaitGroup
+	check.Go(func() {
+		if err := second.checkBeforeWrite(); err != nil {
+			t.Error(err)
+		}
+	})
+	ex.recordFailure(first, &failure{ran: fault.RanUnknown})
+	check.Wait()
+}
--- a/node/command/report.go
+++ b/node/command/report.go
@@ -104,7 +104,7 @@
 // have run, and reports a violation of invariant.Once. It is called before the first byte
 // is written.
 func (ex *exchange) checkSingleRun() error {
-	if ex.ran == fault.RanNo || ex.idempotent() {
+	if ex.idempotent() || ex.ran == fault.RanNo {
 		return nil
 	}
 	ex.h.cfg.Events.Violated(invariant.Once, ex.id, fmt.Sprintf("attempt %d after an earlier attempt with outcome %q", ex.possibleRuns, ex.ran))
