command: an unusable answer does not end the other attempt

What happened: a hedged attempt got "not run" or an answer that must not be delivered, and the first attempt, at which its target was at work, was abandoned and sent again.

Cause: any answer with a status below 500 abandoned the other attempts before it was checked whether it is an answer to this attempt. Change: the check comes first.

--- a/node/command/answer.go
+++ b/node/command/answer.go
@@ -24,16 +24,13 @@
 	writeGrace = 10 * time.Second
 )
 
-// deliver forwards the answer of a target to the caller. It releases the permit if the
-// answer is complete and otherwise returns the failure. An error status (5xx) of an
-// idempotent request is not delivered if a retry is allowed or another attempt is
-// still running.
+// deliver forwards the answer of a target, which checkAnswer accepted, to the caller. It
+// releases the permit if the answer is complete and otherwise returns the failure. An error
+// status (5xx) of an idempotent request is not delivered if a retry is allowed or another
+// attempt is still running.
 func (a *attempt) deliver(resp *http.Response, othersRunning bool) *failure {
 	a.exchange.targetBody = countBody(resp)
 	defer resp.Body.Close()
-	if f := a.validateAnswer(resp); f != nil {
-		return f
-	}
 	if f := a.replaceableFailure(resp, othersRunning); f != nil {
 		return f
 	}
@@ -62,6 +59,15 @@
 	a.permit.Release(outcome, a.latency)
 }
 
+// checkAnswer returns the failure of an answer that must not be delivered, and closes it.
+func (a *attempt) checkAnswer(resp *http.Response) *failure {
+	f := a.validateAnswer(resp)
+	if f != nil {
+		_ = resp.Body.Close()
+	}
+	return f
+}
+
 // validateAnswer returns a failure for an answer that belongs to another request, that
 // says the request did not run, that is not confirmed to come from the target, that has a
 // Content-Encoding which the caller did not request, or whose end cannot be verified.
--- a/node/command/hedge.go
+++ b/node/command/hedge.go
@@ -77,6 +77,9 @@
 	defer a.cancel()
 	defer a.guard.close()
 	f = r.failure
+	if f == nil {
+		f = a.checkAnswer(r.resp)
+	}
 	if f == nil {
 		answered := r.resp.StatusCode < http.StatusInternalServerError
 		if answered {
