pool: a permit of a former process is not used for its successor

Cause: the last check before a request is written compared the target's ID and address, so a permit for a process that had ended was used for the process that started under its ID, cold and without being counted for it. Change: the process is compared too.

--- a/node/pool/permit.go
+++ b/node/pool/permit.go
@@ -61,15 +61,16 @@
 // check returns an error when the permit has expired or the applied
 // configuration excludes the target. It also refuses a target that a ticket
 // moved to another group, because the new holder counts only the permits
-// reported to it.
+// reported to it, and a target that has started again, because its former
+// process is the one that the holder counted.
 func (pt *permit) check(now time.Time) error {
 	c := pt.client
 	if !now.Before(pt.deadline) {
 		return fault.New(fault.NoCapacity, "the permit for target %s has expired", pt.target.ID)
 	}
 	t, ok := c.pool.currentLayout().usableTarget(c.service, c.name, pt.target.ID)
-	if !ok || t.Address != pt.target.Address {
-		return fault.New(fault.NoCapacity, "target %s must not receive new requests: it is closed, or was moved to another group or address", pt.target.ID)
+	if !ok || t.Address != pt.target.Address || t.Process != pt.target.Process {
+		return fault.New(fault.NoCapacity, "target %s must not receive new requests: it is closed, was moved to another group or address, or has started again", pt.target.ID)
 	}
 	return nil
 }
