command: callers cannot set the fleet's headers in a trailer

What targets saw: a trailer with the name of a header that only the fleet may set, as the workspace, with the caller's value.

Cause: the header of a request was cleaned of these names, its trailers of the key alone. Change: the same names are not forwarded as trailers.

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -178,7 +178,7 @@
 		req.ContentLength = -1
 		req.Trailer = make(http.Header, len(announced))
 		for name := range announced {
-			if a.exchange.key == "" || !containsKey(name, a.exchange.key) {
+			if a.exchange.mayForwardTrailer(name) {
 				req.Trailer[name] = nil
 			}
 		}
--- a/node/command/scrub.go
+++ b/node/command/scrub.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/textproto"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/galenasail/galenasail/core/fault"
@@ -78,6 +79,17 @@
 	}
 }
 
+// mayForwardTrailer reports whether a trailer of the caller may be sent to the target: not one
+// that contains the key, nor one that only the fleet may set.
+func (ex *exchange) mayForwardTrailer(name string) bool {
+	if ex.key != "" && containsKey(name, ex.key) {
+		return false
+	}
+	d := ex.h.cfg.Dialect
+	ofFleet := []string{d.Workspace, d.RequestID, d.Timeout, d.Target}
+	return !strings.HasPrefix(name, wire.HeaderPrefix) && !slices.Contains(ofFleet, name) && !slices.Contains(d.Reserved, name)
+}
+
 // removeKey deletes each header line and each cookie that contains key. It does not modify
 // the value slices of h, which may be shared with other headers.
 func removeKey(h http.Header, key string) {
