command: an idempotency record belongs to one host

What callers would see: a request to b.example gets the stored answer of a.example.

Cause: the fingerprint that detects the use of a key for a different request left out the host, although routes are selected by it. Change: it includes the host. Only the product's own dialect has idempotency keys.

--- a/node/command/idempotency.go
+++ b/node/command/idempotency.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -142,6 +143,7 @@
 func (ex *exchange) idempotencyFingerprint() uint64 {
 	d := xxhash.NewWithSeed(ex.fingerprint)
 	_, _ = d.WriteString(ex.query)
+	_, _ = d.WriteString("\x00" + strings.ToLower(ex.r.Host))
 	return d.Sum64()
 }
 
