command: a first attempt is not written after the hedged one once the route allows one run

What callers would see: a request runs twice under a configuration that allows one run.

Cause: whether an attempt would be a second run was decided at its start. A first attempt that waited for its connection was written after the hedged one, when the route had become non-idempotent in between. Change: attempts count as sent at their first byte, and the check is made there against what has been sent by then.

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -38,8 +38,8 @@
 	permit   node.Permit
 	ctx      context.Context
 	cancel   context.CancelFunc
-	// secondRun is true when an earlier attempt of the request may have run or may still run.
-	secondRun bool
+	// sent is true once the attempt counts in exchange.sent.
+	sent bool
 	// abandoned is set once another attempt has answered the request.
 	abandoned atomic.Bool
 	// targetTime is the time spent waiting for the target.
@@ -294,16 +294,30 @@
 	if err := a.exchange.checkSingleRun(); err != nil {
 		return err
 	}
-	if a.secondRun && !a.exchange.stillIdempotent() {
-		return fault.New(fault.OutcomeUnknown, "the route is no longer idempotent and an earlier attempt may have run")
-	}
 	if err := a.permit.Check(); err != nil {
 		return err
 	}
 	if err := a.exchange.recheckAdmission(); err != nil {
 		return err
 	}
-	return a.exchange.h.notices.check(a.exchange.service.Name, a.permit.Target(), time.Now())
+	if err := a.exchange.h.notices.check(a.exchange.service.Name, a.permit.Target(), time.Now()); err != nil {
+		return err
+	}
+	return a.countSent()
+}
+
+// countSent counts the attempt as sent. It returns an error if another attempt may have run and
+// the configuration in force does not allow a second run.
+func (a *attempt) countSent() error {
+	ex := a.exchange
+	if !a.sent {
+		a.sent = true
+		ex.sent.Add(1)
+	}
+	if ex.sent.Load() > 1 && !ex.stillIdempotent() {
+		return fault.New(fault.OutcomeUnknown, "the route is no longer idempotent and another attempt may have run")
+	}
+	return nil
 }
 
 // recheckAdmission repeats the admission checks whose result may have changed since
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -133,6 +133,9 @@
 	ex.ran = max(ex.ran, f.ran)
 	if f.ran == fault.RanNo {
 		ex.possibleRuns--
+		if a.sent {
+			ex.sent.Add(-1)
+		}
 	}
 	if f.ran != fault.RanNo || f.outcome == node.OutcomeShed {
 		ex.mayHaveArrived = true
--- a/node/command/hedge.go
+++ b/node/command/hedge.go
@@ -45,7 +45,6 @@
 // startAttempt starts an attempt in a new goroutine, which sends its result to results.
 func (ex *exchange) startAttempt(p node.Permit, results chan<- attemptResult) *attempt {
 	a := ex.newAttempt(p)
-	a.secondRun = ex.possibleRuns > 0
 	ex.possibleRuns++
 	ex.totalAttempts++
 	ex.attempts = append(ex.attempts, a)
--- a/node/command/kind_test.go
+++ b/node/command/kind_test.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -59,3 +60,30 @@
 		})
 	}
 }
+
+// Guards against a first attempt that is written after the hedged one, when the route has become
+// non-idempotent in between.
+func TestFirstAttemptIsNotWrittenAfterTheHedgedOne(t *testing.T) {
+	changed := make(chan struct{})
+	var f *harness
+	first := startRaw(t, func(_ int64, _ *http.Request, conn net.Conn) bool { return write(conn, okAnswer) })
+	second := startRaw(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
+		f.snapshot.Store(withIdempotent(f.snapshot.Load(), false))
+		close(changed)
+		time.Sleep(200 * time.Millisecond)
+		return write(conn, okAnswer)
+	})
+	f = startHarnessAt(t, first.address, second.address)
+	f.hedgeAfter = 20 * time.Millisecond
+	f.handler.transport.DialContext = guardedDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == first.address {
+			<-changed
+		}
+		return f.handler.cfg.Dial(ctx, network, address)
+	})
+	a := f.do("GET", "/get/x", "")
+	if n := first.received.Load(); n != 0 || a.body != "ok" {
+		t.Errorf("the first target received %d requests, want 0; status %d, body %q", n, a.StatusCode, a.body)
+	}
+	f.wantViolations()
+}
