command: the event about a request names the ticket under which each attempt was sent

It now has the ticket of admission and the kind of the route once, and for each attempt the ticket in force at its first byte.

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -47,9 +47,9 @@
 	guard      *writeGuard
 	startedAt  time.Time
 	latency    time.Duration // from the first byte written to the start of the answer
-	ticket     uint64        // ticket of the configuration that admitted the request
-	idempotent bool          // whether that configuration allows a second run
 	result     string        // how the attempt ended
+	// sentUnder is the ticket in force at the first byte; 0 before.
+	sentUnder atomic.Uint64
 }
 
 // failure describes an attempt that produced no answer to deliver.
@@ -64,7 +64,7 @@
 
 // newAttempt returns an attempt that uses permit p.
 func (ex *exchange) newAttempt(p node.Permit) *attempt {
-	a := &attempt{exchange: ex, permit: p, startedAt: time.Now(), ticket: ex.snapshot.Ticket(), idempotent: ex.idempotent(), result: resultPending}
+	a := &attempt{exchange: ex, permit: p, startedAt: time.Now(), result: resultPending}
 	a.ctx, a.cancel = context.WithCancel(ex.ctx)
 	a.guard = &writeGuard{check: a.checkBeforeWrite, checkHeader: a.checkHeader, method: ex.r.Method, echo: requestEcho{ex.h.cfg.Dialect.RequestID, ex.id}}
 	if !ex.idempotent() {
@@ -310,6 +310,7 @@
 // the configuration in force does not allow a second run.
 func (a *attempt) countSent() error {
 	ex := a.exchange
+	a.sentUnder.Store(ex.h.cfg.Configs.Snapshot().Ticket())
 	if !a.sent {
 		a.sent = true
 		ex.sent.Add(1)
--- a/node/command/describe.go
+++ b/node/command/describe.go
@@ -25,16 +25,17 @@
 	return use
 }
 
-// describe returns the target of the attempt, the configuration that allowed it, its
-// connection, its times since the arrival of the request, and its result.
+// describe returns the target of the attempt, the ticket under which it was sent, its connection,
+// its times since the arrival of the request, and its result.
 func (a *attempt) describe() string {
 	use := a.guard.connUse()
 	target := a.permit.Target()
-	text := fmt.Sprintf("%s at %s, ticket %d, idempotent %t, ", target.ID, target.Address, a.ticket, a.idempotent)
+	text := fmt.Sprintf("%s at %s, ", target.ID, target.Address)
 	if use.writtenAt.IsZero() {
 		text += "not written"
 	} else {
-		text += fmt.Sprintf("written at %.1f ms as request %d of connection %d", milliseconds(use.writtenAt.Sub(a.exchange.start)), use.request, use.conn)
+		text += fmt.Sprintf("written at %.1f ms under ticket %d as request %d of connection %d",
+			milliseconds(use.writtenAt.Sub(a.exchange.start)), a.sentUnder.Load(), use.request, use.conn)
 	}
 	if use.undone > 0 {
 		text += fmt.Sprintf(", %d writes sent nothing", use.undone)
--- a/node/command/report.go
+++ b/node/command/report.go
@@ -46,12 +46,13 @@
 		reporter.suppressed.Add(1)
 		return
 	}
-	routeID := ""
+	routeID, idempotent := "", false
 	if ex.route != nil {
 		routeID = ex.route.ID
+		idempotent = ex.idempotent()
 	}
-	detail := fmt.Sprintf("%s, route %q, workspace %q, %d attempts, %.1f ms, waited %.1f ms for a token and %.1f ms for a target",
-		what, routeID, ex.workspaceID(), ex.totalAttempts, milliseconds(time.Since(ex.start)), milliseconds(ex.tokenWait), milliseconds(ex.permitWait))
+	detail := fmt.Sprintf("%s, route %q, idempotent %t, admitted under ticket %d, workspace %q, %d attempts, %.1f ms, waited %.1f ms for a token and %.1f ms for a target",
+		what, routeID, idempotent, ex.snapshot.Ticket(), ex.workspaceID(), ex.totalAttempts, milliseconds(time.Since(ex.start)), milliseconds(ex.tokenWait), milliseconds(ex.permitWait))
 	for i, a := range ex.attempts {
 		detail += fmt.Sprintf("; attempt %d: %s", i+1, a.describe())
 	}
