command: the path reaches the target as the caller sent it

What targets saw: a path with bytes that URLs escape (| { } " and bytes above 0x7f) in another form than the caller sent.

Cause: the request to the target was built from the decoded path, which net/http escapes again. Change: the path of the request line is sent, except where net/http would change it too (absolute form, a path that begins with //).

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -145,6 +146,7 @@
 			RawQuery: ex.query,
 
 			ForceQuery: ex.r.URL.ForceQuery,
+			Opaque:     sentPath(ex.r),
 		},
 		Host:       ex.r.Host,
 		Proto:      "HTTP/1.1",
@@ -156,6 +158,16 @@
 	return req.WithContext(a.withConnTrace(a.ctx))
 }
 
+// sentPath returns the path of r as the caller sent it; empty where net/http cannot send it
+// unchanged, as in the absolute form.
+func sentPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
+		return ""
+	}
+	return path
+}
+
 // setBody sets the body of req to the caller's body, from its start.
 func (a *attempt) setBody(req *http.Request) {
 	b := a.exchange.body
