standin: targets that shed a share of requests and send late copies of answers

Cause: the stand-in target answered each request exactly once and shed only when its queue was full, so no test with real processes played an answer that comes a second time, late, at the point where the next one is expected. Change: Fault.ShedPercent refuses a share of requests before they run. Fault.LateCopyPercent sends the former answer of a connection once more before the next one; it covers answers that net/http writes at once, up to about 4 KB. Crash is exported, to restart a target. With neither fault set, what a target sends is unchanged.

--- a/cmd/internal/standin/target/fault.go
+++ b/cmd/internal/standin/target/fault.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -23,6 +22,11 @@
 	ClosePercent float64 `json:"closePercent"`
 	// HangPercent is the share of requests that are never answered.
 	HangPercent float64 `json:"hangPercent"`
+	// ShedPercent is the share of requests refused before they run.
+	ShedPercent float64 `json:"shedPercent"`
+	// LateCopyPercent is the share of answers before which the target sends the former
+	// answer on the same connection a second time.
+	LateCopyPercent float64 `json:"lateCopyPercent"`
 	// FlapOnMs and FlapOffMs are the times, in milliseconds, for which a flapping
 	// fault is on and off in turn; if one is 0, the fault stays on.
 	FlapOnMs  int `json:"flapOnMs"`
@@ -86,15 +90,15 @@
 	return strings.Contains(r.URL.Path, f.CrashMarker) || bytes.Contains(body, []byte(f.CrashMarker))
 }
 
-// crash resets all connections and makes the target cold, as if its process had
+// Crash resets all connections and makes the target cold, as if its process had
 // crashed and been restarted.
-func (t *Target) crash() {
+func (t *Target) Crash() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Crashes++
 	t.restart(time.Now())
 	for c := range t.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
+		if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
 			// With a linger time of 0, Close sends a TCP reset instead of a FIN.
 			_ = tcp.SetLinger(0)
 		}
--- a/cmd/internal/standin/target/observe.go
+++ b/cmd/internal/standin/target/observe.go
@@ -25,10 +25,12 @@
 	DuplicateIDs []string `json:"duplicateIds,omitempty"`
 	// Canceled counts executions that the client canceled or whose deadline passed.
 	Canceled int `json:"canceled"`
-	// Shed counts requests refused on arrival; ShedDraining counts those of them
+	// Shed counts requests refused on arrival, also those of a fault; ShedDraining counts those of them
 	// that were refused because the target was draining.
 	Shed         int `json:"shed"`
 	ShedDraining int `json:"shedDraining"`
+	// LateCopies counts answers that were sent a second time.
+	LateCopies int `json:"lateCopies"`
 	// ExpiredInQueue counts requests whose deadline passed in the queue.
 	ExpiredInQueue int `json:"expiredInQueue"`
 	// ColdStarts counts how often the target became cold after its start;
@@ -153,6 +155,18 @@
 	return run
 }
 
+func (t *Target) recordShed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Shed++
+}
+
+func (t *Target) recordLateCopy() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.LateCopies++
+}
+
 func (t *Target) recordCanceled() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/cmd/internal/standin/target/serve.go
+++ b/cmd/internal/standin/target/serve.go
@@ -48,7 +48,13 @@
 	t.countKeyLeaks(r, body)
 	ctx, cancel := withTimeout(r)
 	defer cancel()
-	if !t.admit(time.Now()) {
+	now := time.Now()
+	if t.random.chance(t.activeFault(now).ShedPercent) {
+		t.recordShed()
+		t.shed(w)
+		return
+	}
+	if !t.admit(now) {
 		t.shed(w)
 		return
 	}
@@ -115,7 +121,7 @@
 func (t *Target) run(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte) {
 	f := t.activeFault(time.Now())
 	if f.crashesOn(r, body) {
-		t.crash()
+		t.Crash()
 		panic(http.ErrAbortHandler)
 	}
 	run := t.recordRun(r)
--- a/cmd/internal/standin/target/target.go
+++ b/cmd/internal/standin/target/target.go
@@ -133,7 +133,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err := server.Serve(l)
+	err := server.Serve(copyingListener{l, t})
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/cmd/internal/standin/target/target_test.go
+++ b/cmd/internal/standin/target/target_test.go
@@ -1,11 +1,17 @@
 package target
 
 import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -99,3 +105,48 @@
 		t.Fatalf("got %d refusals with the shed header and %+v; want 3 refusals, 3 counted as shed, and a cold overload", sheds, st)
 	}
 }
+
+// Guards against a late copy that is not the former answer of its connection, and against
+// a crash that does not reset connections.
+func TestLateCopyOfTheFormerAnswer(t *testing.T) {
+	tg := New(Config{MedianServiceTime: time.Millisecond})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var running sync.WaitGroup
+	defer running.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	running.Go(func() { _ = tg.Serve(ctx, l) })
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	answers := bufio.NewReader(c)
+	exchange := func(id string, f Fault, want ...string) {
+		tg.SetFault(f)
+		_, _ = fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: x\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderRequestID, id)
+		for _, w := range want {
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			if got := fmt.Sprint(resp.Header.Get(HeaderRequestID), " ", resp.StatusCode, " ", resp.Header.Get(HeaderShed)); got != w {
+				t.Errorf("request %s: got answer %q, want %q", id, got, w)
+			}
+		}
+	}
+	exchange("a", Fault{ShedPercent: 100, LateCopyPercent: 100}, "a 503 not-run")
+	exchange("b", Fault{LateCopyPercent: 100}, "a 503 not-run", "b 200 ")
+	exchange("c", Fault{}, "c 200 ")
+	if st := tg.Stats(); st.Runs != 2 || st.Shed != 1 || st.LateCopies != 1 {
+		t.Errorf("got %+v, want 2 runs, 1 shed request and 1 late copy", st)
+	}
+	tg.Crash()
+	if _, err := answers.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read after a crash: got %v, want a reset", err)
+	}
+}
