ledger: name the requests that ran twice or were refused although they ran

Cause: the soak reported only how many requests broke a rule, which cannot be matched with the events of the VMs. Change: DuplicateRuns and FalseNotRunAnswers return path and request ID of each request. The checks fail on the same conditions as before.

--- a/cmd/internal/ledger/ledger.go
+++ b/cmd/internal/ledger/ledger.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,8 @@
 type Ledger struct {
 	mu             sync.Mutex
 	runs           map[string]int
-	duplicates     int
+	requestIDs     map[string]string // ID of the latest run, by path
+	duplicates     []string
 	reportedNotRun []string
 	lastRun        map[string]time.Time
 	firstRuns      map[string][]time.Time
@@ -29,7 +31,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{runs: map[string]int{}, lastRun: map[string]time.Time{}, firstRuns: map[string][]time.Time{}}
+	return &Ledger{runs: map[string]int{}, requestIDs: map[string]string{}, lastRun: map[string]time.Time{}, firstRuns: map[string][]time.Time{}}
 }
 
 // RecordNotRun records a non-idempotent request whose answer states that it did not run.
@@ -43,18 +45,23 @@
 	l.reportedNotRun = append(l.reportedNotRun, r.Path)
 }
 
-// FalseNotRunAnswers returns the number of recorded requests that ran although their
-// answer stated that they did not.
-func (l *Ledger) FalseNotRunAnswers() int {
+// FalseNotRunAnswers describes the recorded requests that ran although their answer
+// stated that they did not.
+func (l *Ledger) FalseNotRunAnswers() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := 0
+	var out []string
 	for _, path := range l.reportedNotRun {
 		if l.runs[path] > 0 {
-			n++
+			out = append(out, l.describe(path))
 		}
 	}
-	return n
+	return out
+}
+
+// describe returns the path and the request ID of a request that ran. The caller holds mu.
+func (l *Ledger) describe(path string) string {
+	return path + " with ID " + l.requestIDs[path]
 }
 
 // RunRecorder returns a callback that a target in the given failure domain calls for
@@ -67,13 +74,14 @@
 		now := time.Now()
 		l.lastRun[domain] = now
 		l.runs[r.URL.Path]++
+		l.requestIDs[r.URL.Path] = r.Header.Get(target.HeaderRequestID)
 		if l.runs[r.URL.Path] == 1 {
 			workspace := r.Header.Get(target.HeaderWorkspace)
 			l.firstRuns[workspace] = append(l.firstRuns[workspace], now)
 			return
 		}
 		if r.Method == http.MethodPost {
-			l.duplicates++
+			l.duplicates = append(l.duplicates, l.describe(r.URL.Path))
 		}
 	}
 }
@@ -101,11 +109,11 @@
 	return largest
 }
 
-// DuplicateRuns returns the number of repeated runs of non-idempotent requests.
-func (l *Ledger) DuplicateRuns() int {
+// DuplicateRuns describes the repeated runs of non-idempotent requests.
+func (l *Ledger) DuplicateRuns() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.duplicates
+	return slices.Clone(l.duplicates)
 }
 
 // LastRunIn returns when a target in the failure domain last ran a request, the zero time
--- a/cmd/internal/scenario/chaos.go
+++ b/cmd/internal/scenario/chaos.go
@@ -127,10 +127,10 @@
 // checkInvariants returns an error if the run violated an invariant of the system.
 func (r *run) checkInvariants() error {
 	tb := r.testbed
-	if n := tb.ledger.DuplicateRuns(); n > 0 {
+	if n := len(tb.ledger.DuplicateRuns()); n > 0 {
 		return trace.CompareFailed("%d non-idempotent requests ran twice", n)
 	}
-	if n := tb.ledger.FalseNotRunAnswers(); n > 0 {
+	if n := len(tb.ledger.FalseNotRunAnswers()); n > 0 {
 		return trace.CompareFailed("%d requests ran although their answer said that they did not", n)
 	}
 	for _, t := range tb.targets {
--- a/cmd/internal/scenario/steps.go
+++ b/cmd/internal/scenario/steps.go
@@ -344,8 +344,8 @@
 		leaked += s.KeysSeen
 		overloads += s.ColdOverloads
 	}
-	r.recordMeasure("non-idempotent requests run twice", "%d", r.testbed.ledger.DuplicateRuns())
-	r.recordMeasure("refusals \"not run\" that had run", "%d", r.testbed.ledger.FalseNotRunAnswers())
+	r.recordMeasure("non-idempotent requests run twice", "%d", len(r.testbed.ledger.DuplicateRuns()))
+	r.recordMeasure("refusals \"not run\" that had run", "%d", len(r.testbed.ledger.FalseNotRunAnswers()))
 	r.recordMeasure("workspace keys seen by targets", "%d", leaked)
 	r.recordMeasure("cold targets overloaded", "%d", overloads)
 	r.recordMeasure("invariants violated", "%s", r.testbed.Violations())
--- a/cmd/soak/violations_test.go
+++ b/cmd/soak/violations_test.go
@@ -14,11 +14,11 @@
 // callers and targets. Each text starts with the name of the check and a colon.
 func (tb *testbed) violations() []string {
 	var out []string
-	if n := tb.ledger.DuplicateRuns(); n > 0 {
-		out = append(out, fmt.Sprintf("once: %d non-idempotent requests ran twice", n))
+	if twice := tb.ledger.DuplicateRuns(); len(twice) > 0 {
+		out = append(out, fmt.Sprintf("once: %d repeated runs of non-idempotent requests: %v", len(twice), twice))
 	}
-	if n := tb.ledger.FalseNotRunAnswers(); n > 0 {
-		out = append(out, fmt.Sprintf("refusal: %d requests ran although their answer said that they did not", n))
+	if refused := tb.ledger.FalseNotRunAnswers(); len(refused) > 0 {
+		out = append(out, fmt.Sprintf("refusal: %d requests ran although their answer said that they did not: %v", len(refused), refused))
 	}
 	for _, t := range tb.targets {
 		if n := t.Stats().KeysSeen; n > 0 {
