soak: targets that restart under new IDs and send late copies, network faults before them

Cause: the soak could not see two runs or a false refusal by a late copy. (1) A stand-in target answered each request once. (2) Each target had an address of its own and a retry avoids the targets that failed, so two attempts of one request never shared a connection. (3) Targets refused only with a full queue. (4) Nothing stood between VMs and targets. The stand-in does repeat the request ID, so connections were kept. Change: while faults are injected, targets refuse 5 % of requests and send 10 % of answers late a second time. Again and again the targets of a service restart under new IDs, which a ticket lists beside the former ones at the same addresses; these targets refuse 40 % and send each answer twice. A proxy stands before each target; the targets of a failure domain are delayed, reset or cut in one direction. VMs log the event about each request, and a failed check of the service lists the requests that failed.

--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -76,13 +76,17 @@
 	})
 	tb := startTestbed(t, dir, *vmCount, seed%2 == 0)
 	tb.awaitHealthy(t)
+	var targetFaults sync.WaitGroup
+	targetFaults.Go(func() { tb.injectTargetFaults(t, seed, *faultPeriod) })
 	tb.injectFaults(t, rand.New(rand.NewPCG(seed, 0)), *faultPeriod)
+	targetFaults.Wait()
 	tb.clearFaults()
 	tb.awaitHealthy(t)
 	tb.checkFaultFreeService(t)
 	tb.checkGracefulStops(t)
 	tb.checkFullRestart(t)
 	tb.checkTicket(t)
+	tb.logTargetFaults(t)
 	for _, problem := range tb.violations() {
 		t.Error(problem)
 	}
@@ -92,7 +96,7 @@
 func (tb *testbed) awaitHealthy(t *testing.T) {
 	for end := time.Now().Add(readyTimeout); !tb.isServing(time.Second, minSuccessShare); {
 		if time.Now().After(end) {
-			t.Fatalf("callers not served within %v", readyTimeout)
+			t.Fatalf("callers not served within %v: %v", readyTimeout, tb.failedSince(end.Add(-faultFreePeriod)))
 		}
 	}
 }
@@ -118,11 +122,18 @@
 
 // checkFaultFreeService checks the share of successful answers without faults.
 func (tb *testbed) checkFaultFreeService(t *testing.T) {
+	began := time.Now()
 	if !tb.isServing(faultFreePeriod, minSuccessShare) {
-		t.Errorf("service: less than %.0f%% successful answers in %v without faults", 100*minSuccessShare, faultFreePeriod)
+		t.Errorf("service: less than %.0f%% successful answers in %v without faults: %v", 100*minSuccessShare, faultFreePeriod, tb.failedSince(began))
 	}
 }
 
+// failedSince returns the requests within their rate that have failed since a time.
+func (tb *testbed) failedSince(since time.Time) []string {
+	overloaded := tb.deployment.Workspaces[0].ID
+	return tb.results.details(func(f failedRequest) bool { return f.workspace != overloaded && f.ended.After(since) })
+}
+
 // checkGracefulStops stops VMs gracefully in turn, without other faults, while callers
 // keep using their open connections until the process exits. No answer may be
 // truncated or missing.
@@ -171,8 +182,11 @@
 	last := len(doc.Workspaces) - 1
 	doc.Workspaces[last].KeyDigests = []string{}
 	domain := tb.deployment.Domains[0]
-	tb.publish(t, deployment.NamedDocument{Name: "workspaces/all", Document: doc},
+	err := tb.publish(deployment.NamedDocument{Name: "workspaces/all", Document: doc},
 		deployment.NamedDocument{Name: "domains", Document: tb.deployment.DomainsDocument(domain)})
+	if err != nil {
+		t.Fatal(err)
+	}
 	published := time.Now()
 	time.Sleep(applyTimeout)
 	workspace := doc.Workspaces[last].ID
@@ -260,7 +274,7 @@
 	for time.Since(began) < during {
 		k := faultKinds[r.IntN(len(faultKinds))]
 		own := rand.New(rand.NewPCG(r.Uint64(), 0))
-		duration := 200*time.Millisecond + time.Duration(r.Int64N(int64(4*time.Second)))
+		duration := randomFaultTime(r)
 		pause := time.Duration(r.Int64N(int64(maxFaultPause)))
 		i := pool.acquire()
 		t.Logf("%6.2f s  %s, VM %d, %v", time.Since(began).Seconds(), k.name, i+1, duration.Round(time.Millisecond))
@@ -273,6 +287,11 @@
 	}
 }
 
+// randomFaultTime returns the time for which a fault lasts.
+func randomFaultTime(r *rand.Rand) time.Duration {
+	return 200*time.Millisecond + time.Duration(r.Int64N(int64(4*time.Second)))
+}
+
 // vmPool assigns VMs to faults, each VM to one fault at a time.
 type vmPool struct {
 	slots chan bool // semaphore that bounds the VMs with a fault
--- a/cmd/soak/testbed_test.go
+++ b/cmd/soak/testbed_test.go
@@ -60,10 +60,15 @@
 	callerProxies   []*proxy // from callers to each VM
 	platformProxies []*proxy // from each VM to the platform
 	platform        *platform.Server
+	targetProxies   []*proxy // from all VMs to each target
 	targets         []*target.Target
-	ledger          *ledger.Ledger
-	results         *callerResults
-	ticket          uint64
+	targetDomains   []string // failure domain of each target
+	// incarnations holds, for each service, the numbers of those starts of its targets
+	// that the configuration lists.
+	incarnations [][]int
+	ledger       *ledger.Ledger
+	results      *callerResults
+	ticket       uint64
 	// bySeeds is true when the VMs find each other through seed VMs instead of a
 	// published list.
 	bySeeds bool
@@ -76,15 +81,16 @@
 	sent       map[string]int
 	succeeded  map[string]int
 	mismatched []string
-	// incomplete lists the answers that were truncated or missing.
-	incomplete []incompleteAnswer
+	failed     []failedRequest
 }
 
-// incompleteAnswer is an answer that was truncated or missing, with the time at which
-// its request was sent.
-type incompleteAnswer struct {
-	began  time.Time
-	detail string
+// failedRequest is a request without a successful answer.
+type failedRequest struct {
+	workspace    string
+	began, ended time.Time
+	// incomplete is true if the answer was truncated or missing.
+	incomplete bool
+	detail     string
 }
 
 func newCallerResults() *callerResults {
@@ -97,12 +103,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent[workspace]++
-	// A caller that got no address has not sent the request.
-	if res.Broken && res.Kind != "no_address" {
-		detail := fmt.Sprintf("%s %s after %v, status %d", r.Method, r.Path, res.Elapsed.Round(time.Millisecond), res.Status)
-		s.incomplete = append(s.incomplete, incompleteAnswer{time.Now().Add(-res.Elapsed), detail})
-	}
 	if !res.OK() {
+		s.failed = append(s.failed, newFailedRequest(workspace, r, res))
 		return
 	}
 	s.succeeded[workspace]++
@@ -111,6 +113,16 @@
 	}
 }
 
+func newFailedRequest(workspace string, r load.Request, res load.Result) failedRequest {
+	now := time.Now()
+	return failedRequest{
+		workspace: workspace, began: now.Add(-res.Elapsed), ended: now,
+		// A caller that got no address has not sent the request.
+		incomplete: res.Broken && res.Kind != "no_address",
+		detail:     fmt.Sprintf("%s %s after %v, status %d %s", r.Method, r.Path, res.Elapsed.Round(time.Millisecond), res.Status, res.Kind),
+	}
+}
+
 // counts returns the numbers of requests and of successful answers of a workspace.
 func (s *callerResults) counts(workspace string) (sent, good int) {
 	s.mu.Lock()
@@ -121,12 +133,17 @@
 // incompleteSince returns the truncated or missing answers to requests sent since a
 // time. Earlier requests may have been affected by a fault that has ended.
 func (s *callerResults) incompleteSince(since time.Time) []string {
+	return s.details(func(f failedRequest) bool { return f.incomplete && !f.began.Before(since) })
+}
+
+// details returns the details of the failed requests that match.
+func (s *callerResults) details(matches func(failedRequest) bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var details []string
-	for _, c := range s.incomplete {
-		if !c.began.Before(since) {
-			details = append(details, c.detail)
+	for _, f := range s.failed {
+		if matches(f) {
+			details = append(details, f.detail)
 		}
 	}
 	return details
@@ -159,15 +176,17 @@
 	}
 	for i := range tb.deployment.Services {
 		for _, doc := range tb.deployment.ServiceDocument(i, tb.ports).Targets {
-			l, err := net.Listen("tcp", doc.Address)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
 			}
+			tb.targetProxies = append(tb.targetProxies, startProxy(t, doc.Address, l.Addr().String()))
 			one := target.New(target.Config{
 				ID: doc.ID, Slots: doc.Slots, MedianServiceTime: medianServiceTime, Sigma: 0.4, ColdSlots: 1, ColdRamp: coldRamp,
 				Keys: keys, Seed: uint64(len(tb.targets) + 1), OnRun: tb.ledger.RunRecorder(doc.FailureDomain),
 			})
 			tb.targets = append(tb.targets, one)
+			tb.targetDomains = append(tb.targetDomains, doc.FailureDomain)
 			running.Go(func() { _ = one.Serve(ctx, l) })
 		}
 	}
@@ -187,7 +206,12 @@
 	if err := tb.platform.SetList(list, 0); err != nil {
 		t.Fatal(err)
 	}
-	tb.publish(t, tb.deployment.Documents(tb.ports)...)
+	for range tb.deployment.Services {
+		tb.incarnations = append(tb.incarnations, []int{0})
+	}
+	if err := tb.publish(append(tb.deployment.Documents(tb.ports), tb.serviceDocuments()...)...); err != nil {
+		t.Fatal(err)
+	}
 	program := buildDaemon(t, dir)
 	for i, vm := range list.VMs {
 		listenAddress := fmt.Sprintf("127.0.0.1:%d", tb.ports.Caller+listenPortOffset+i)
@@ -197,6 +221,7 @@
 		p, err := newProcess(program, dir, tb.settings(&settings.Settings{
 			ID: vm.ID, Address: listenAddress, PeerAddress: vm.PeerAddress, AdminAddress: tb.ports.AdminAddress(i),
 			FailureDomain: vm.FailureDomain, PlatformURL: "http://" + platformProxy.listener.Addr().String(), SharedKey: sharedKey,
+			LogLevel: 1, // logs the events about requests, which show the attempts of each
 		}, list))
 		if err != nil {
 			t.Fatal(err)
@@ -227,19 +252,17 @@
 }
 
 // publish publishes documents as the next ticket.
-func (tb *testbed) publish(t *testing.T, documents ...deployment.NamedDocument) {
+func (tb *testbed) publish(documents ...deployment.NamedDocument) error {
 	file := &document.TicketFile{Ticket: tb.ticket + 1, Documents: map[string]json.RawMessage{}}
 	for _, d := range documents {
 		raw, err := json.Marshal(d.Document)
 		if err != nil {
-			t.Fatal(err)
+			return err
 		}
 		file.Documents[d.Name] = raw
 	}
-	if err := tb.platform.Publish(file); err != nil {
-		t.Fatal(err)
-	}
 	tb.ticket++
+	return tb.platform.Publish(file)
 }
 
 func (tb *testbed) startCallers(ctx context.Context, running *sync.WaitGroup) {
@@ -284,8 +307,9 @@
 		tb.callerProxies[i].setMode(passing)
 		tb.platformProxies[i].setMode(passing)
 	}
-	for _, t := range tb.targets {
-		t.SetFault(target.Fault{})
+	for _, p := range tb.targetProxies {
+		p.setMode(passing)
 	}
+	setFaults(tb.targets, target.Fault{})
 	tb.platform.SetOutage(platform.Available, 0)
 }
