--- a/node/command/kind_test.go
+++ b/node/command/kind_test.go
@@ -87,3 +87,19 @@
 	}
 	f.wantViolations()
 }
+
+// Guards against a request that is not retried because its route was removed after it was admitted.
+func TestRemovedRouteKeepsTheKindOfItsRequests(t *testing.T) {
+	var f *harness
+	first := startRaw(t, func(int64, *http.Request, net.Conn) bool {
+		removed := *f.snapshot.Load()
+		removed.Routes = nil
+		f.snapshot.Store(&removed)
+		return false
+	})
+	second := startRaw(t, func(_ int64, _ *http.Request, conn net.Conn) bool { return write(conn, okAnswer) })
+	f = startHarnessAt(t, first.address, second.address)
+	if a := f.do("GET", "/get/x", ""); a.body != "ok" {
+		t.Errorf("status %d, body %q, want the answer of the second target", a.StatusCode, a.body)
+	}
+}
