--- a/node/command/echocaller_test.go
+++ b/node/command/echocaller_test.go
@@ -26,7 +26,10 @@
 
 // newEntry draws a request and adds it to the ledger.
 func (c *echoCaller) newEntry(id string, keyed bool) *echoEntry {
-	e := &echoEntry{id: id, keyed: keyed, chunked: c.rng.IntN(2) == 0}
+	e := &echoEntry{id: id, requestID: id, keyed: keyed, chunked: c.rng.IntN(2) == 0}
+	if c.rng.IntN(8) == 0 {
+		e.requestID = id[:6] // shared with requests of other callers
+	}
 	e.method = []string{"GET", "POST", "POST", "PUT", "HEAD"}[c.rng.IntN(5)]
 	e.path = []string{"/get/", "/post/", "/post/", echoFlipPrefix}[c.rng.IntN(4)]
 	if c.rng.IntN(8) == 0 {
@@ -47,7 +50,7 @@
 	d := c.run.variant.dialect
 	h := map[string]string{"X-Id": e.id, "Authorization": "Bearer " + testKey, d.Timeout: "200"}
 	if d.AcceptRequestIDs {
-		h[d.RequestID] = e.id
+		h[d.RequestID] = e.requestID
 	}
 	if e.keyed {
 		h[wire.HeaderIdempotencyKey] = "abc." + e.id
--- a/node/command/echochaos_test.go
+++ b/node/command/echochaos_test.go
@@ -190,6 +190,9 @@
 		}
 	}
 	p := &echoPermit{fakePermit: fakePermit{run.f, target}, run: run, entry: e, kind: run.kind.Load(), expired: rng.IntN(40) == 0}
+	if rng.IntN(3) == 0 {
+		p.hedge = time.Duration(1+rng.IntN(4)) * time.Millisecond
+	}
 	e.attempts = append(e.attempts, p)
 	return p, nil
 }
@@ -199,12 +202,16 @@
 	fakePermit
 	run     *echoRun
 	entry   *echoEntry
+	hedge   time.Duration
 	expired bool
 	kind    *echoKind // when the permit was granted
 	written bool      // the request may have been written
 	once    bool      // its route was non-idempotent from the grant until the write
 }
 
+// HedgeAfter implements node.Permit.
+func (p *echoPermit) HedgeAfter() time.Duration { return p.hedge }
+
 // Check implements node.Permit. It is called before the request is written.
 func (p *echoPermit) Check() error {
 	p.entry.mu.Lock()
--- a/node/command/echoledger_test.go
+++ b/node/command/echoledger_test.go
@@ -11,9 +11,10 @@
 // echoEntry is what callers, permits and targets have recorded about one request.
 type echoEntry struct {
 	id, method, path string
-	size             int  // of the request's body
-	chunked          bool // the body has no announced length
-	keyed            bool // sent twice with one idempotency key
+	requestID        string // sent where callers choose it
+	size             int    // of the request's body
+	chunked          bool   // the body has no announced length
+	keyed            bool   // sent twice with one idempotency key
 
 	mu       sync.Mutex
 	once     bool // the route was non-idempotent from before the request was sent until its first attempt
--- a/node/command/echotarget_test.go
+++ b/node/command/echotarget_test.go
@@ -149,6 +149,8 @@
 		return former[v.rng.IntN(len(former))]
 	case 1:
 		return former[v.rng.IntN(len(former))] + last
+	case 2:
+		return last[:v.rng.IntN(min(len(last), 100))]
 	}
 	return last
 }
@@ -284,10 +286,12 @@
 	case 15:
 		a.name, a.text, a.end = name+"last", v.whole(http.StatusOK, body, signed, "Connection: close"), closeAtEnd
 	case 16:
-		a.name, a.end, a.pause = name+"closed while idle", closeAtEnd, pause
+		a.name, a.extra, a.pause = name+"part of a second copy later", good[:v.rng.IntN(len(good))], pause
 	case 17:
-		a.name, a.end, a.pause = name+"reset while idle", resetAtEnd, pause
+		a.name, a.end, a.pause = name+"closed while idle", closeAtEnd, pause
 	case 18:
+		a.name, a.end, a.pause = name+"reset while idle", resetAtEnd, pause
+	case 19:
 		return echoAnswer{name: name + "no answer in the protocol", text: "\x00\r\nno answer\r\n\r\n", end: closeAtEnd}
 	}
 	return a
