command: a request target with a space is refused

What targets saw: over HTTP/2 a path or a query may hold a space; sent as it is, it ends the request target in the request line of HTTP/1.1. Change: such a request gets 400, as one with a dot segment.

--- a/node/command/admit.go
+++ b/node/command/admit.go
@@ -72,6 +72,10 @@
 	if r.Method == http.MethodConnect {
 		return fault.New(fault.BadRequest, "method CONNECT is not supported")
 	}
+	// HTTP/2 carries any byte; in a request line a space ends the request target.
+	if strings.Contains(r.RequestURI, " ") {
+		return fault.New(fault.BadRequest, "the request target contains a space")
+	}
 	// A target may resolve dot segments and serve a path outside the route's prefix.
 	if slices.ContainsFunc(strings.Split(r.URL.Path, "/"), isDotSegment) {
 		return fault.New(fault.BadRequest, "the path contains a dot segment")
--- a/node/command/path_test.go
+++ b/node/command/path_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"github.com/galenasail/galenasail/core/fault"
 )
 
 // Guards against a request target that reaches the target of the route in another form than the
@@ -28,3 +30,21 @@
 		}
 	}
 }
+
+// Guards against an HTTP/2 request whose path or query ends the request line that the target gets.
+func TestSpaceInRequestTargetIsRefused(t *testing.T) {
+	target := startRaw(t, func(_ int64, _ *http.Request, c net.Conn) bool { return write(c, okAnswer) })
+	f := startHarnessAt(t, target.address)
+	for _, path := range []string{"/get/x HTTP/1.0", "/get/x?a=1 HTTP/1.0"} {
+		req, err := http.NewRequest(http.MethodGet, f.url, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.URL.Opaque = path
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		f.wantKind(receive(callerTransport(true).RoundTrip(req)), fault.BadRequest)
+	}
+	if n := target.received.Load(); n != 0 {
+		t.Errorf("the target received %d requests, want 0", n)
+	}
+}
