command: an attempt refused for the kind of its route does not count as sent

From the read-through: such an attempt counted until its failure was recorded, and another one that was about to be written could be refused because of it. go test -race of the tests of kinds and hedged attempts passes, -count=2.

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -39,7 +39,7 @@
 	permit   node.Permit
 	ctx      context.Context
 	cancel   context.CancelFunc
-	// sent is true once the attempt counts in exchange.sent.
+	// sent is true while the attempt counts in exchange.sent.
 	sent bool
 	// abandoned is set once another attempt has answered the request.
 	abandoned atomic.Bool
@@ -328,6 +328,8 @@
 		ex.sent.Add(1)
 	}
 	if ex.sent.Load() > 1 && !ex.stillIdempotent() {
+		a.sent = false
+		ex.sent.Add(-1)
 		return fault.New(fault.OutcomeUnknown, "the route is no longer idempotent and another attempt may have run")
 	}
 	return nil
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -39,7 +39,7 @@
 	callerWriter   *countingWriter // counts the bytes sent to the caller; same value as w
 	targetBody     *countingBody   // counts the bytes read from the target; nil without a body
 	possibleRuns   int             // attempts in which the target may have run the request
-	sent           atomic.Int32    // attempts about to be written that are not known not to have run
+	sent           atomic.Int32    // attempts that were or are about to be written, less those that did not run
 	totalAttempts  int             // all attempts, including those that provably did not run
 	mayHaveArrived bool            // the request may have reached a target
 	attempts       []*attempt      // all attempts, in the order of their start
