--- a/node/command/echocaller_test.go
+++ b/node/command/echocaller_test.go
@@ -155,7 +155,9 @@
 	}
 	conn, err := net.Dial("tcp", c.run.f.url[len("http://"):])
 	if err != nil {
-		c.run.f.t.Error(err)
+		if !c.run.stopping.Load() {
+			c.run.f.t.Error(err)
+		}
 		return false
 	}
 	c.conn, c.in = conn, bufio.NewReader(conn)
--- a/node/command/echochaos_test.go
+++ b/node/command/echochaos_test.go
@@ -87,6 +87,8 @@
 	revoked *document.Snapshot // base without the key of the callers
 	listed  [][]string         // IDs of each target, the newest last
 	ids     int
+	// stopping is true once the VM shuts down and may refuse connections.
+	stopping atomic.Bool
 }
 
 // echoIDKey is the key of the request's ID in its context.
@@ -225,7 +227,8 @@
 	return nil
 }
 
-// send lets callers send requests until all numbers have been used.
+// send lets callers send requests until all numbers have been used. The VM shuts down beside the
+// last ones.
 func (run *echoRun) send(requests int) {
 	next := make(chan int)
 	var callers sync.WaitGroup
@@ -240,12 +243,24 @@
 		})
 	}
 	for i := range requests {
+		if i == requests-requests/10 {
+			callers.Go(run.shutDown)
+		}
 		next <- i
 	}
 	close(next)
 	callers.Wait()
 }
 
+func (run *echoRun) shutDown() {
+	run.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := run.f.server.Shutdown(ctx); err != nil {
+		run.f.t.Error(err)
+	}
+}
+
 // sendOne sends request i, a batch of pipelined requests, or a request twice with one
 // idempotency key.
 func (c *echoCaller) sendOne(i int) {
