--- a/node/command/cutcopy_test.go
+++ b/node/command/cutcopy_test.go
@@ -32,8 +32,7 @@
 	}
 }
 
-// Guards against a connection that is used again after bytes of two answers were parsed as one,
-// and against headers that merely look like a status line.
+// Guards against two answers that are parsed as one, and against headers that only mention HTTP.
 func TestFramingFindsAStatusLineWithinAHeader(t *testing.T) {
 	for header, merged := range map[string]bool{
 		"HTTP/1.1 200 OHTTP/1.1 503 Busy":           true,
--- a/node/command/hedgeanswer_test.go
+++ b/node/command/hedgeanswer_test.go
@@ -9,8 +9,7 @@
 	"github.com/galenasail/galenasail/node"
 )
 
-// Guards against an unusable answer to one attempt that ends another attempt, which would have
-// answered.
+// Guards against an unusable answer to one attempt that ends another one, which would have answered.
 func TestUnusableAnswerDoesNotEndTheOtherAttempt(t *testing.T) {
 	for _, c := range []struct{ name, answer string }{
 		{"ID of another request", "HTTP/1.1 200 OK\r\nGalenasail-Request-Id: 7\r\nContent-Length: 5\r\n\r\nother"},
--- a/node/command/kind_test.go
+++ b/node/command/kind_test.go
@@ -61,8 +61,7 @@
 	}
 }
 
-// Guards against a first attempt that is written after the hedged one, when the route has become
-// non-idempotent in between.
+// Guards against a first attempt written after the hedged one when the route became non-idempotent in between.
 func TestFirstAttemptIsNotWrittenAfterTheHedgedOne(t *testing.T) {
 	changed := make(chan struct{})
 	var f *harness
--- a/node/command/path_test.go
+++ b/node/command/path_test.go
@@ -10,8 +10,7 @@
 	"github.com/galenasail/galenasail/core/fault"
 )
 
-// Guards against a request target that reaches the target of the route in another form than the
-// caller sent it.
+// Guards against a path that reaches the target in another form than the caller sent.
 func TestRequestTargetIsForwardedUnchanged(t *testing.T) {
 	seen := make(chan string, 1)
 	target := startRaw(t, func(_ int64, r *http.Request, c net.Conn) bool {
--- a/node/command/sameid_test.go
+++ b/node/command/sameid_test.go
@@ -9,8 +9,7 @@
 
 const otherAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
 
-// Guards against a late second copy of an answer that is taken for the answer to a request of
-// another workspace whose caller chose the same ID.
+// Guards against a late copy that is taken for the answer to a request of another workspace with the same ID.
 func TestLateCopyIsNotTheAnswerToAnotherRequestWithTheSameID(t *testing.T) {
 	for _, c := range []struct{ name, first string }{
 		{"answer", otherAnswer},
