target, command: keep each target in use while entry VMs see requests unserved

A holder counts only what reached it: requests refused for their workspace's rate did not arm its floor, and with the floor at 80% of the targets those left out could be the healthy ones.

Change: an entry VM counts how the requests for a service ended and tells the holder with each permit request when more than 5% were not served; then, and from 8% of failures in the group, each open target gets a request within 1.6 s.

--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -27,6 +27,9 @@
 	Overdue bool
 	// Repeat is true when an earlier attempt of the request may have reached a target.
 	Repeat bool
+	// Failing is true when many requests for the service are not served, as the entry VM
+	// sees it.
+	Failing bool
 	// Domain is the failure domain of the entry VM.
 	Domain string
 	// MayIdle is true when the caller may keep the permit unused for a while.
--- a/core/target/floor.go
+++ b/core/target/floor.go
@@ -10,6 +10,10 @@
 	// used to maintain the floor: half of the 10% of failed requests from which a
 	// service has to stay above its floor.
 	failureShareLimit = 0.05
+	// floorFailureShare is the share of failed requests above which every open target is
+	// kept in use, and not only as many as the floor: estimates of health are then wrong for
+	// many targets, and those left out may be the healthy ones.
+	floorFailureShare = 0.08
 	// unusedIdempotent and unusedAny apply while the share of failed requests is above
 	// failureShareLimit. A target that had no request for unusedIdempotent gets the next
 	// idempotent request. One that had none for unusedAny gets the next request of any
@@ -50,8 +54,34 @@
 
 // aboveLimit reports whether the share of failed requests is above failureShareLimit.
 func (c *failureCounter) aboveLimit(now time.Time) bool {
+	return c.exceeds(failureShareLimit, now)
+}
+
+// exceeds reports whether the share of failed requests is above limit.
+func (c *failureCounter) exceeds(limit float64, now time.Time) bool {
 	succeeded, failed := c.sums(now)
-	return float64(failed) > failureShareLimit*float64(succeeded+failed)
+	return float64(failed) > limit*float64(succeeded+failed)
+}
+
+// ServiceFailures counts, on an entry VM, how the requests for a service ended for their
+// callers. It includes requests that were refused before they reached a holder, which the
+// holders' own counts lack. It is not safe for concurrent use.
+type ServiceFailures struct{ failureCounter }
+
+// NewServiceFailures returns a counter without requests.
+func NewServiceFailures() *ServiceFailures {
+	return &ServiceFailures{newFailureCounter()}
+}
+
+// Record records the end of one request.
+func (f *ServiceFailures) Record(served bool, now time.Time) {
+	f.record(!served, now)
+}
+
+// Failing reports whether so many requests are not served that the service has to stay above
+// its floor.
+func (f *ServiceFailures) Failing(now time.Time) bool {
+	return f.aboveLimit(now)
 }
 
 // RecordRefusal records a request that got no permit.
@@ -86,13 +116,17 @@
 	return float64(used) < floor*float64(open)
 }
 
-// requiredByFloor reports whether s has to get the request: requests of the group
-// fail, and s had none for so long that the service would fall below its floor. It
-// covers loads at which many targets are estimated as gray, some of them wrongly.
+// requiredByFloor reports whether s has to get the request: requests fail, and s had none for
+// so long that the service would fall below its floor. It covers loads at which many targets
+// are estimated as gray, some of them wrongly.
 func (h *Holder) requiredByFloor(s *state, a AcquireRequest, now time.Time) bool {
 	unused := now.Sub(s.health.lastGrant)
-	if a.Hedge || unused < unusedIdempotent || !h.failures.aboveLimit(now) {
+	if a.Hedge || unused < unusedIdempotent || !a.Failing && !h.failures.aboveLimit(now) {
 		return false
 	}
-	return a.Idempotent || unused >= unusedAny && h.belowFloor(now)
+	if a.Idempotent {
+		return true
+	}
+	eachTarget := a.Failing || h.failures.exceeds(floorFailureShare, now)
+	return unused >= unusedAny && (eachTarget || h.belowFloor(now))
 }
--- a/core/target/floor_test.go
+++ b/core/target/floor_test.go
@@ -89,3 +89,33 @@
 		t.Fatal("one hanging target of 24 exceeds the limit of failed requests")
 	}
 }
+
+// Guards against healthy targets without a request for 2 s while many requests for the service
+// are refused before they reach a holder: the holder itself sees few failures then, and leaves
+// targets unused that it estimates as gray for no reason.
+func TestEachTargetIsUsedWhileEntryVMsSeeFailures(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newGraySimulation(seed, document.ByHealthEstimate, 24)
+		w.idempotent = 0
+		w.failing = true
+		if worst, _ := longestUnused(w, 20*time.Second); worst > 2*time.Second {
+			t.Errorf("seed %d: a target had no request for %v, want at most 2 s", seed, worst)
+		}
+	}
+}
+
+// Guards against a count of refusals that ends too late or never: a service whose requests are
+// served again must not keep its gray targets in use.
+func TestServiceFailuresEndWithTheWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewServiceFailures()
+	for i := range 100 {
+		f.Record(i%10 != 0, now)
+	}
+	if !f.Failing(now) {
+		t.Error("a tenth of the requests is not served, and the service does not count as failing")
+	}
+	if now = now.Add(failureWindow + failureWindow/windowBuckets); f.Failing(now) {
+		t.Error("the service counts as failing after the window has passed")
+	}
+}
--- a/core/target/health_test.go
+++ b/core/target/health_test.go
@@ -21,6 +21,8 @@
 	hung     int
 	// idempotent is the share of idempotent requests.
 	idempotent float64
+	// failing is what the entry VM reports with each request.
+	failing bool
 }
 
 type grayEnd struct {
@@ -78,7 +80,7 @@
 
 // request sends one request, idempotent with the probability w.idempotent.
 func (w *graySimulation) request() {
-	a := AcquireRequest{Caller: grayCaller, Hold: 2 * time.Second, Route: "book", Domain: "a", Idempotent: w.random.Float64() < w.idempotent}
+	a := AcquireRequest{Caller: grayCaller, Hold: 2 * time.Second, Route: "book", Domain: "a", Idempotent: w.random.Float64() < w.idempotent, Failing: w.failing}
 	g, ok := w.holder.Acquire(a, w.now)
 	if !ok {
 		return
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -132,6 +132,7 @@
 	retryBudgets     serviceBudgets
 	idempotency      idempotencyTable
 	quarantine       *quarantine
+	outcomes         serviceOutcomes
 	notices          *targetNotices
 	reporter         *requestReporter
 	running          atomic.Int64
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -76,6 +76,7 @@
 		DueAfter:    ex.dueAfter(),
 		Objective:   ex.remainingObjective(),
 		Retry:       ex.mayHaveArrived,
+		Failing:     ex.h.outcomes.failing(ex.service.Name, time.Now()),
 		Avoid:       ex.avoidedTargets(),
 		MaxDuration: time.Until(ex.deadline),
 	}
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -63,7 +63,11 @@
 	if h.closeAfterAnswer.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := ex.serve(); err != nil {
+	err := ex.serve()
+	if ex.service != nil {
+		h.outcomes.record(ex.service.Name, err == nil && out.status < http.StatusInternalServerError, time.Now())
+	}
+	if err != nil {
 		ex.fail(err)
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -120,6 +120,9 @@
 	Retry bool
 	// Hedge is true for a second attempt that is sent while the first is still running.
 	Hedge bool
+	// Failing is true when many of the requests for the service that this VM received were
+	// not served.
+	Failing bool
 	// Workspace is used for fairness; empty for open routes.
 	Workspace string
 	// Avoid lists targets that already failed this request.
