locality: keep requests in the failure domain of their caller while it has room

Change: setting localDomains. Seats belong to failure domains in turn, targets are grouped by domain (groupByDomain of the service document), the group's shard is one of its domain's seats, callers get the holders of their own domain, and requests overflow to other domains by the share of free slots of healthy targets. The platform's adapter sets it where the loss of a whole domain need not be borne.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -106,6 +106,9 @@
 	Placement Placement `json:"placement,omitempty"`
 	// GroupSize is the usual number of targets in a group; 0 means the default.
 	GroupSize int `json:"groupSize,omitempty"`
+	// GroupByDomain makes groups of targets of the same failure domain, for fleets whose
+	// requests stay in the failure domain of their VM.
+	GroupByDomain bool `json:"groupByDomain,omitempty"`
 	// ColdPerSecond is the maximum number of requests per second to a cold target; 0
 	// means that only the slots limit it.
 	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -62,6 +62,10 @@
 	// MaxSeats bounds the number of seats, because each VM exchanges fast heartbeats with
 	// the holder of each. Default: member.ShardCount.
 	MaxSeats int
+	// SeatDomains assigns seat i to failure domain i modulo their number: VMs of that
+	// domain come first for the seat within their capacity class. All VMs must have the
+	// same list. Default: seats are spread over the domains, without assignment.
+	SeatDomains []string
 	// Quorum returns the number of grants that make a lease exclusive among n members.
 	// Default: member.Quorum.
 	Quorum func(n int) int
--- a/core/lease/state.go
+++ b/core/lease/state.go
@@ -177,8 +177,11 @@
 	s.seats = 0
 	if s.cfg.Seats > 0 {
 		s.seats = min(member.Seats(s.list.Len(), s.cfg.Seats), s.cfg.MaxSeats)
+		if n := len(s.cfg.SeatDomains); n > 0 {
+			s.seats = min(member.SeatsByDomain(s.seats, n), member.ShardCount)
+		}
 	}
-	seats := member.RankSeats(s.list, s.seats)
+	seats := member.RankSeats(s.list, s.seats, s.cfg.SeatDomains...)
 	for shard := range member.Shard(member.ShardCount) {
 		switch {
 		case s.seats == 0:
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -128,6 +128,12 @@
 	return Shard(xxhash.Sum64String(name) % ShardCount)
 }
 
+// ShardOfDomain returns the shard of a name that belongs to domain number i of n failure
+// domains. It is i modulo n, so that its seat is assigned to the domain (see RankSeats).
+func ShardOfDomain(name string, i, n int) Shard {
+	return Shard(i + n*int(xxhash.Sum64String(name)%uint64((ShardCount-i+n-1)/n)))
+}
+
 // Weight returns the rendezvous hashing weight of the member id for key.
 func Weight(key, id string) uint64 {
 	d := xxhash.New()
--- a/core/member/seat.go
+++ b/core/member/seat.go
@@ -31,12 +31,21 @@
 	return fmt.Sprintf("seat/%d", seat)
 }
 
+// SeatsByDomain returns the number of seats of a cell whose seats are assigned to failure
+// domains: a multiple of the number of domains, near n and at least one for each domain.
+func SeatsByDomain(n, domains int) int {
+	return max(1, n/domains) * domains
+}
+
 // RankSeats returns, for each seat, the member IDs of l in order of precedence for holding it.
 // VMs of a larger capacity class come first. Within a class, the first VM of each seat is a
 // VM that is not yet first of another seat, if there is one. It is chosen from the failure
 // domain with the fewest seats, so that the loss of one domain does not take all seats.
 // The others follow in rendezvous order, the first VMs of other seats last.
-func RankSeats(l *List, seats int) [][]string {
+//
+// With domains, seat i is assigned to domain i modulo their number, and VMs of that domain
+// come before others of their class.
+func RankSeats(l *List, seats int, domains ...string) [][]string {
 	class := make(map[string]int, l.Len())
 	domain := make(map[string]string, l.Len())
 	for i := range l.Len() {
@@ -48,9 +57,20 @@
 	inDomain := map[string]int{}
 	for seat := range orders {
 		ids := Rank(l, SeatKey(seat))
-		sort.SliceStable(ids, func(i, j int) bool { return class[ids[i]] > class[ids[j]] })
+		assigned := func(id string) bool { return len(domains) > 0 && domain[id] == domains[seat%len(domains)] }
+		sort.SliceStable(ids, func(i, j int) bool {
+			if class[ids[i]] != class[ids[j]] {
+				return class[ids[i]] > class[ids[j]]
+			}
+			return assigned(ids[i]) && !assigned(ids[j])
+		})
 		orders[seat] = ids
-		id, ok := pickFirst(ids, first, func(id string) (int, int) { return class[id], inDomain[domain[id]] })
+		id, ok := pickFirst(ids, first, func(id string) (int, int) {
+			if assigned(id) {
+				return class[id], -1
+			}
+			return class[id], inDomain[domain[id]]
+		})
 		if !ok {
 			continue
 		}
@@ -58,8 +78,9 @@
 		inDomain[domain[id]]++
 		moveToFront(ids, id)
 	}
-	// After the first VM, sort the first VMs of other seats to the end of their class.
-	for _, ids := range orders {
+	// After the first VM, sort the first VMs of other seats to the end of their class, but
+	// VMs of the assigned domain before others.
+	for seat, ids := range orders {
 		if len(ids) == 0 {
 			continue
 		}
@@ -69,6 +90,10 @@
 			if class[a] != class[b] {
 				return class[a] > class[b]
 			}
+			if len(domains) > 0 && domain[a] != domain[b] {
+				assigned := domains[seat%len(domains)]
+				return domain[a] == assigned || domain[b] != assigned && !first[a] && first[b]
+			}
 			return !first[a] && first[b]
 		})
 	}
--- a/core/member/seat_test.go
+++ b/core/member/seat_test.go
@@ -131,3 +131,38 @@
 		}
 	}
 }
+
+// Guards against seats and shards of a failure domain that are held in another one although
+// it has VMs of the same capacity, also after the loss of its first VM.
+func TestSeatsAssignedToDomains(t *testing.T) {
+	domains := []string{"a", "b", "c"}
+	for _, n := range []int{6, 54, 99, 300} {
+		seats := SeatsByDomain(Seats(n, 2), len(domains))
+		l := &List{}
+		for i := range n {
+			capacity := 400
+			if i < 2*seats {
+				capacity = 800
+			}
+			l.VMs = append(l.VMs, VM{ID: fmt.Sprintf("vm-%03d", i), FailureDomain: domains[i%3], State: Live, Capacity: capacity})
+		}
+		if seats%len(domains) != 0 {
+			t.Fatalf("%d seats for %d domains", seats, len(domains))
+		}
+		for seat, ids := range RankSeats(l, seats, domains...) {
+			for rank, id := range ids[:2] {
+				vm, _ := l.Find(id)
+				if vm.FailureDomain != domains[seat%3] || vm.Capacity != 800 {
+					t.Errorf("%d VMs, seat %d, rank %d: VM of domain %s with capacity %d", n, seat, rank, vm.FailureDomain, vm.Capacity)
+				}
+			}
+		}
+		for i := range domains {
+			for k := range 100 {
+				if s := ShardOfDomain(fmt.Sprint("group", k), i, len(domains)); s >= ShardCount || int(s)%seats%len(domains) != i {
+					t.Fatalf("shard %d of domain %d is of another domain's seat", s, i)
+				}
+			}
+		}
+	}
+}
--- a/core/target/group.go
+++ b/core/target/group.go
@@ -24,6 +24,8 @@
 	Name string
 	// Service is the name of the service.
 	Service string
+	// Domain is the failure domain of all members; empty where groups span domains.
+	Domain string
 	// Targets lists the members, sorted by failure domain and ID.
 	Targets []document.Target
 }
@@ -50,7 +52,12 @@
 // distributed in ID order, and each domain starts at another group. A target added at
 // the end of a domain therefore moves no other target while the number of groups
 // stays the same.
+//
+// Where the service asks for it, each group has targets of one failure domain only.
 func Groups(v *document.Service) []Group {
+	if v.GroupByDomain {
+		return domainGroups(v)
+	}
 	groups := make([]Group, groupCount(len(v.Targets), v.GroupSize))
 	for i := range groups {
 		groups[i] = Group{Name: GroupName(v.Name, i), Service: v.Name}
@@ -64,6 +71,27 @@
 	return groups
 }
 
+// domainGroups divides the targets of each failure domain into groups of their own.
+func domainGroups(v *document.Service) []Group {
+	var groups []Group
+	for _, members := range byDomain(v.Targets) {
+		domain := members[0].FailureDomain
+		of := make([]Group, groupCount(len(members), v.GroupSize))
+		for i := range of {
+			of[i] = Group{Name: GroupName(v.Name+"@"+domain, i), Service: v.Name, Domain: domain}
+		}
+		for i, t := range members {
+			g := &of[i%len(of)]
+			g.Targets = append(g.Targets, t)
+		}
+		groups = append(groups, of...)
+	}
+	if len(groups) == 0 {
+		return []Group{{Name: GroupName(v.Name, 0), Service: v.Name}}
+	}
+	return groups
+}
+
 // byDomain returns the targets of each failure domain, domains sorted by name and
 // targets by ID.
 func byDomain(targets []document.Target) [][]document.Target {
--- a/core/target/health.go
+++ b/core/target/health.go
@@ -81,6 +81,9 @@
 	rateWindow = time.Second
 )
 
+// healthySlotsAge is how long a count of free slots of healthy targets is reused.
+const healthySlotsAge = 20 * time.Millisecond
+
 // decayingProbability is a probability estimate that decays exponentially towards its
 // prior.
 type decayingProbability struct {
@@ -313,6 +316,22 @@
 	return c.busySlots < c.doc.Slots && c.health.recentGrants(now) < h.rateLimit(c.state, now)
 }
 
+// freeHealthySlots returns the number of free slots of targets that are not probably gray. The
+// result is reused for healthySlotsAge, because it takes as long as the choice of a target.
+func (h *Holder) freeHealthySlots(now time.Time) int {
+	if now.Sub(h.healthySlotsAt) < healthySlotsAge {
+		return h.healthySlots
+	}
+	free := 0
+	for _, s := range h.targets {
+		if s.open && h.grayProbability(s, "", now) < grayLimit {
+			free += max(0, s.doc.Slots-h.busySlots(s, now))
+		}
+	}
+	h.healthySlots, h.healthySlotsAt = free, now
+	return free
+}
+
 // rateLimit returns the highest number of requests to s in rateWindow.
 func (h *Holder) rateLimit(s *state, now time.Time) int {
 	bound := h.view.Service.ColdPerSecond
--- a/core/target/holder.go
+++ b/core/target/holder.go
@@ -79,6 +79,9 @@
 	// lastSeen is when each VM last called.
 	lastSeen map[string]time.Time
 	takeover takeover
+	// healthySlots is the result of freeHealthySlots at healthySlotsAt.
+	healthySlots   int
+	healthySlotsAt time.Time
 }
 
 type permitKey struct {
@@ -244,8 +247,13 @@
 	}
 }
 
-// FreeSlots returns the number of permits that can be issued now.
+// FreeSlots returns the number of permits that can be issued now. For groups of one failure
+// domain it counts targets that are not probably gray only: the figure tells other domains
+// and this one where requests can be served.
 func (h *Holder) FreeSlots(now time.Time) int {
+	if h.view.Service.GroupByDomain && h.placesByHealth() {
+		return h.freeHealthySlots(now)
+	}
 	free := 0
 	for _, s := range h.targets {
 		if h.usable(s, now) {
--- a/node/daemon/adapter.go
+++ b/node/daemon/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/galenasail/galenasail/core/target"
@@ -76,13 +77,23 @@
 	TTL time.Duration
 }
 
-// AddressResponse returns the VMs that callers should use now.
-func (d *Daemon) AddressResponse() AddressResponse {
+// AddressResponse returns the VMs that callers should use now. Domain is the failure domain of
+// the caller, empty when it is not known.
+func (d *Daemon) AddressResponse(domain string) AddressResponse {
 	ttl := adapterAddressTTL
 	if d.adapter != nil && d.adapter.MaxAddressTTL > 0 {
 		ttl = min(ttl, d.adapter.MaxAddressTTL)
 	}
-	return AddressResponse{Addresses: d.holderAddresses.Addresses(), TTL: ttl}
+	return AddressResponse{Addresses: d.holderAddresses.Addresses(d.localDomain(domain)), TTL: ttl}
+}
+
+// localDomain returns the failure domain in which callers of a domain should stay; empty when
+// they may use all VMs.
+func (d *Daemon) localDomain(domain string) string {
+	if slices.Contains(d.settings.LocalDomains, domain) {
+		return domain
+	}
+	return ""
 }
 
 // vmRetryBudget returns the retry budget of a single VM.
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -109,6 +109,7 @@
 	if c.Seats > 0 {
 		c.Term = seatedLeaseTerm
 		c.MaxSeats = max(maxSeats, c.Seats)
+		c.SeatDomains = d.settings.LocalDomains
 		c.FastHeartbeats = lease.Timing{Interval: fastInterval, Timeout: fastTimeout}
 		c.SlowHeartbeats = lease.Timing{Interval: slowInterval, Timeout: slowTimeout}
 	}
@@ -180,6 +181,7 @@
 		Events:           d.recorder,
 		System:           d.system,
 		FleetRetryBudget: d.fleetRetryBudget(),
+		LocalDomains:     d.settings.LocalDomains,
 	})
 }
 
--- a/node/pool/calls.go
+++ b/node/pool/calls.go
@@ -57,7 +57,7 @@
 		Avoid:     q.Avoid,
 		Route:     q.Route, Idempotent: q.Idempotent, Second: q.Hedge,
 		Repeat: q.Retry || q.Hedge, PatienceMs: millis(q.DueAfter), ObjectiveMs: millis(q.Objective),
-		Domain: p.config.Identity.VM.FailureDomain,
+		Domain: p.config.Identity.VM.FailureDomain, Failing: q.Failing,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), wait+callMargin)
 	defer cancel()
--- a/node/pool/client.go
+++ b/node/pool/client.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenasail/galenasail/core/member"
+	"github.com/galenasail/galenasail/core/target"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
 )
 
@@ -34,6 +35,7 @@
 	pool    *Pool
 	name    string
 	service string
+	domain  string // failure domain of all targets; empty where they are in several
 	shard   member.Shard
 
 	// mu guards the fields below.
@@ -87,12 +89,13 @@
 	instance uint64
 }
 
-func newGroupClient(p *Pool, name, service string) *groupClient {
+func newGroupClient(p *Pool, g *target.Group) *groupClient {
 	return &groupClient{
 		pool:        p,
-		name:        name,
-		service:     service,
-		shard:       member.ShardOf(name),
+		name:        g.Name,
+		service:     g.Service,
+		domain:      g.Domain,
+		shard:       p.shardOf(g),
 		held:        map[uint64]*permit{},
 		unconfirmed: map[uint64]*permit{},
 	}
--- a/node/pool/entry.go
+++ b/node/pool/entry.go
@@ -133,7 +133,7 @@
 			return u
 		}
 	}
-	order := orderByLoad(clients)
+	order := p.order(clients)
 	for i, c := range order {
 		if i == maxImmediateTries || c.looksFull() || (len(order) == 1 && !q.Hedge) {
 			break
@@ -209,7 +209,7 @@
 	name := v.Group.Name
 	c := p.entry.clients[name]
 	if c == nil {
-		c = newGroupClient(p, name, v.Service.Name)
+		c = newGroupClient(p, &v.Group)
 		p.entry.clients[name] = c
 	}
 	return c
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/galenasail/galenasail/core/fault"
-	"github.com/galenasail/galenasail/core/member"
 	"github.com/galenasail/galenasail/core/target"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
 )
@@ -76,9 +75,8 @@
 
 func (e exchangeCall) apply(h *holderActor) {
 	l := h.pool.currentLayout()
-	shard := member.ShardOf(e.request.Group)
-	hold, held := h.exclusiveLease(shard)
-	if l == nil || !held || l.Groups[e.request.Group] == nil {
+	hold, held := h.groupLease(l, e.request.Group)
+	if !held {
 		e.waiter.finish(&peerv1.ExchangePermitsResponse{})
 		return
 	}
@@ -108,6 +106,7 @@
 		Hedge:      a.Second,
 		Repeat:     a.Repeat,
 		Domain:     a.Domain,
+		Failing:    a.Failing,
 	}
 	deadline := now.Add(fromMillis(a.WaitMs))
 	due := now.Add(fromMillis(a.PatienceMs))
@@ -271,8 +270,8 @@
 
 func (r reportCall) apply(h *holderActor) {
 	l := h.pool.currentLayout()
-	hold, held := h.exclusiveLease(member.ShardOf(r.request.Group))
-	if l == nil || !held || l.Groups[r.request.Group] == nil {
+	hold, held := h.groupLease(l, r.request.Group)
+	if !held {
 		r.reply <- false
 		return
 	}
--- a/node/pool/holder.go
+++ b/node/pool/holder.go
@@ -98,6 +98,15 @@
 	return hold, valid
 }
 
+// groupLease returns the lease on the shard of a group. ok is false when the group is not in
+// the configuration or the lease is not exclusive at this moment.
+func (h *holderActor) groupLease(l *layout, group string) (hold node.HeldLease, ok bool) {
+	if l == nil || l.Groups[group] == nil {
+		return node.HeldLease{}, false
+	}
+	return h.exclusiveLease(h.pool.shardOf(&l.Groups[group].Group))
+}
+
 // group returns the state of the group v under the given lease. A new lease
 // starts with a new state.
 func (h *holderActor) group(l *layout, v *target.View, hold node.HeldLease, now time.Time) *heldGroup {
@@ -131,7 +140,7 @@
 		RetryBudget: h.pool.config.FleetRetryBudget,
 	}
 	return &heldGroup{
-		shard:  member.ShardOf(v.Group.Name),
+		shard:  h.pool.shardOf(&v.Group),
 		epoch:  hold.Epoch,
 		holder: target.NewHolder(c, now),
 		queue:  newQueue(v.Service.Placement),
--- a/node/pool/layout.go
+++ b/node/pool/layout.go
@@ -54,7 +54,7 @@
 	} else {
 		next.Layout = target.NewLayout(snapshot, l.targetLayout())
 	}
-	next.assignGroups()
+	p.assignGroups(next)
 	p.layout.Store(next)
 	return next
 }
@@ -88,7 +88,7 @@
 }
 
 // assignGroups selects the groups that belong to the cell of this VM.
-func (l *layout) assignGroups() {
+func (p *Pool) assignGroups(l *layout) {
 	l.shards = map[member.Shard][]*target.View{}
 	l.services = map[string][]*target.View{}
 	count := l.list.Cells()
@@ -102,7 +102,7 @@
 			if cells[i%count] != own {
 				continue
 			}
-			s := member.ShardOf(v.Group.Name)
+			s := p.shardOf(&v.Group)
 			l.shards[s] = append(l.shards[s], v)
 			l.services[service] = append(l.services[service], v)
 		}
--- /dev/null
+++ b/node/pool/locality.go
@@ -0,0 +1,57 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/galenasail/galenasail/core/member"
+	"github.com/galenasail/galenasail/core/target"
+)
+
+// shardOf returns the shard of a group. A group of one failure domain gets a shard whose seat
+// is assigned to that domain, so that its holder is usually a VM of the domain.
+func (p *Pool) shardOf(g *target.Group) member.Shard {
+	domains := p.config.LocalDomains
+	if i := slices.Index(domains, g.Domain); i >= 0 {
+		return member.ShardOfDomain(g.Name, i, len(domains))
+	}
+	return member.ShardOf(g.Name)
+}
+
+// order returns the clients in the order in which they are asked for a permit.
+func (p *Pool) order(clients []*groupClient) []*groupClient {
+	ordered := orderByLoad(clients)
+	if len(p.config.LocalDomains) > 0 {
+		p.orderByDomain(ordered, time.Now())
+	}
+	return ordered
+}
+
+// orderByDomain sorts the clients by the expected share of free slots, where groups of other
+// failure domains count as fuller than they are. The order of equal ones is kept.
+func (p *Pool) orderByDomain(clients []*groupClient, now time.Time) {
+	own := p.config.Identity.VM.FailureDomain
+	room := make(map[*groupClient]float64, len(clients))
+	for _, c := range clients {
+		room[c] = target.Room(c.groupLoad(now), c.domain == own)
+	}
+	slices.SortStableFunc(clients, func(a, b *groupClient) int { return cmp.Compare(room[b], room[a]) })
+}
+
+// groupLoad returns what this VM knows of the load of the group.
+func (c *groupClient) groupLoad(now time.Time) target.GroupLoad {
+	slots := 0
+	if l := c.pool.layout.Load(); l != nil && l.Groups[c.name] != nil {
+		slots = l.Groups[c.name].OpenSlots()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return target.GroupLoad{
+		Free:        c.free,
+		Queued:      c.queued,
+		Slots:       slots,
+		Outdated:    now.Sub(c.respondedAt) > maxLoadAge,
+		Unreachable: now.Sub(c.failedAt) < unreachableBackoff,
+	}
+}
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -48,6 +48,10 @@
 	// FleetRetryBudget limits the repeated requests to each service across all VMs.
 	// Default: only the budget of each VM (command.VMRetryBudget) applies.
 	FleetRetryBudget target.FleetRetryBudget
+	// LocalDomains lists the failure domains of the fleet. When set, a group whose targets
+	// are in one of them belongs to a shard whose seat is assigned to that domain, and
+	// requests prefer the groups of this VM's domain. Default: none.
+	LocalDomains []string
 }
 
 const (
--- a/node/query/holder_addresses.go
+++ b/node/query/holder_addresses.go
@@ -40,10 +40,11 @@
 }
 
 // Addresses returns the addresses that callers should use now; none when no VM is known
-// that could serve.
-func (s *HolderAddresses) Addresses() []string {
+// that could serve. Callers of a failure domain get the holders of that domain if there are
+// any; with an empty domain they get all holders.
+func (s *HolderAddresses) Addresses(domain string) []string {
 	var out []string
-	for _, vm := range s.choose(time.Now()) {
+	for _, vm := range steer.InDomain(s.choose(time.Now()), domain) {
 		out = append(out, vm.Address)
 	}
 	return out
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -56,6 +56,10 @@
 	// Capacity is the CPU capacity of the VM, in thousandths of a core; 0 is unknown. When
 	// Seats is above 0, VMs with more capacity are preferred as holders. Default: 0.
 	Capacity int `json:"capacity,omitempty"`
+	// LocalDomains lists the failure domains of a fleet whose requests stay in the failure
+	// domain of their caller while it has room. It must be the same on all VMs. Use it where
+	// the loss of a whole failure domain need not be borne. Default: none.
+	LocalDomains []string `json:"localDomains,omitempty"`
 	// MemoryMB is the memory that the process may use, in megabytes; 0 is unknown.
 	// Default: 0.
 	MemoryMB int `json:"memoryMB,omitempty"`
@@ -134,6 +138,9 @@
 	if s.Capacity < 0 {
 		return trace.BadParameter("settings: capacity %d is below 0", s.Capacity)
 	}
+	if err := s.checkLocalDomains(); err != nil {
+		return err
+	}
 	if s.MemoryMB < 0 {
 		return trace.BadParameter("settings: memoryMB %d is below 0", s.MemoryMB)
 	}
@@ -146,6 +153,28 @@
 	return nil
 }
 
+// checkLocalDomains returns an error unless LocalDomains is empty or lists different domains,
+// among them that of the VM.
+func (s *Settings) checkLocalDomains() error {
+	if len(s.LocalDomains) == 0 {
+		return nil
+	}
+	if len(s.LocalDomains) > member.ShardCount {
+		return trace.BadParameter("settings: localDomains has %d entries, at most %d are allowed", len(s.LocalDomains), member.ShardCount)
+	}
+	seen := map[string]bool{}
+	for _, d := range s.LocalDomains {
+		if d == "" || seen[d] {
+			return trace.BadParameter("settings: localDomains has an empty or repeated entry %q", d)
+		}
+		seen[d] = true
+	}
+	if !seen[s.FailureDomain] {
+		return trace.BadParameter("settings: localDomains lacks the failure domain %q of this VM", s.FailureDomain)
+	}
+	return nil
+}
+
 // checkAddress returns an error unless value is an IP address with a port; processes are
 // addressed by IP address and never by host name.
 func checkAddress(value string) error {
