steer: callers of a failure domain get two of its VMs

Cause: with one VM named to the callers of a domain, the loss of that VM, or of its paths to some targets, cuts the whole domain off from these targets.

Change: steer.Local adds the next usable VM of the domain that is as large as its holder.

--- a/core/member/seat.go
+++ b/core/member/seat.go
@@ -124,6 +124,11 @@
 	ids[0] = id
 }
 
+// SameCapacityClass reports whether two VMs count as equally large.
+func SameCapacityClass(a, b VM) bool {
+	return capacityClass(a.Capacity) == capacityClass(b.Capacity)
+}
+
 // capacityClass returns the number of bits of a capacity, so that VMs with a capacity between
 // the same two powers of two rank as equal.
 func capacityClass(capacity int) int {
--- a/core/steer/holders.go
+++ b/core/steer/holders.go
@@ -1,21 +1,43 @@
 package steer
 
-import "github.com/galenasail/galenasail/core/member"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/galenasail/galenasail/core/member"
+)
 
 // MaxAddresses is the maximum number of VMs that Holders returns.
 const MaxAddresses = 16
 
-// InDomain returns the VMs of a failure domain. It returns all VMs when the domain is empty or
-// none of them is in it.
-func InDomain(vms []member.VM, domain string) []member.VM {
+// MinLocalVMs is the number of VMs of a failure domain that its callers get, if the domain has
+// as many of the holder's size. With two, the loss of one VM, or of the paths from it to some
+// targets, does not cut all callers of the domain off from these targets.
+const MinLocalVMs = 2
+
+// Local returns the VMs for the callers of a failure domain: the given holders that are in the
+// domain, then other usable VMs of the domain that are as large, in rendezvous order, up to
+// MinLocalVMs. It returns all holders when none is in the domain.
+func Local(holders []member.VM, list *member.List, domain string, usable func(member.VM) bool) []member.VM {
 	var local []member.VM
-	for _, vm := range vms {
+	for _, vm := range holders {
 		if vm.FailureDomain == domain {
 			local = append(local, vm)
 		}
 	}
-	if len(local) == 0 {
-		return vms
+	if len(local) == 0 || list == nil {
+		return holders
+	}
+	var others []ranked
+	for _, vm := range list.VMs {
+		isHolder := slices.ContainsFunc(local, func(l member.VM) bool { return l.ID == vm.ID })
+		if vm.FailureDomain == domain && !isHolder && member.SameCapacityClass(vm, local[0]) && usable(vm) {
+			others = append(others, ranked{vm, member.Weight("local/"+domain, vm.ID)})
+		}
+	}
+	slices.SortFunc(others, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+	for _, r := range others[:min(len(others), max(0, MinLocalVMs-len(local)))] {
+		local = append(local, r.vm)
 	}
 	return local
 }
--- a/node/query/holder_addresses.go
+++ b/node/query/holder_addresses.go
@@ -40,11 +40,15 @@
 }
 
 // Addresses returns the addresses that callers should use now; none when no VM is known
-// that could serve. Callers of a failure domain get the holders of that domain if there are
-// any; with an empty domain they get all holders.
+// that could serve. Callers of a failure domain get VMs of that domain if it has a holder;
+// with an empty domain they get all holders.
 func (s *HolderAddresses) Addresses(domain string) []string {
+	vms := s.choose(time.Now())
+	if domain != "" {
+		vms = steer.Local(vms, s.cfg.Configs.List(), domain, s.eligible)
+	}
 	var out []string
-	for _, vm := range steer.InDomain(s.choose(time.Now()), domain) {
+	for _, vm := range vms {
 		out = append(out, vm.Address)
 	}
 	return out
