target: the floor counts requests that reach a target

Change: a grant that ends without a connection does not count as use, a VM that could not connect to a target gets no required request for it for 5 s, and only targets below the gray limit are required beyond the floor.

--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -67,8 +67,10 @@
 		vm:         a.Caller.VM,
 		route:      a.Route,
 		issuedAt:   now,
-		deadline:   now.Add(h.holdWithMargin(min(a.Hold, h.view.LongestHold))),
-		mayIdle:    a.MayIdle,
+
+		previousGrant: s.health.lastGrant,
+		deadline:      now.Add(h.holdWithMargin(min(a.Hold, h.view.LongestHold))),
+		mayIdle:       a.MayIdle,
 	}
 	h.permits[permitKey{a.Caller.Instance, h.lastID}] = p
 	if h.placesByHealth() && a.Idempotent {
--- a/core/target/floor.go
+++ b/core/target/floor.go
@@ -10,10 +10,13 @@
 	// used to maintain the floor: half of the 10% of failed requests from which a
 	// service has to stay above its floor.
 	failureShareLimit = 0.05
-	// floorFailureShare is the share of failed requests above which every open target is
-	// kept in use, and not only as many as the floor: estimates of health are then wrong for
-	// many targets, and those left out may be the healthy ones.
+	// floorFailureShare is the share of failed requests above which each target below
+	// grayLimit is kept in use, and not only as many as the floor: the targets that are left
+	// out may be the healthy ones.
 	floorFailureShare = 0.08
+	// unreachableMemory is how long a VM that could not connect to a target gets no request
+	// for it that the floor requires.
+	unreachableMemory = 5 * time.Second
 	// unusedIdempotent and unusedAny apply while the share of failed requests is above
 	// failureShareLimit. A target that had no request for unusedIdempotent gets the next
 	// idempotent request. One that had none for unusedAny gets the next request of any
@@ -81,7 +84,7 @@
 // Failing reports whether so many requests are not served that the service has to stay above
 // its floor.
 func (f *ServiceFailures) Failing(now time.Time) bool {
-	return f.aboveLimit(now)
+	return f.exceeds(floorFailureShare, now)
 }
 
 // RecordRefusal records a request that got no permit.
@@ -116,17 +119,21 @@
 	return float64(used) < floor*float64(open)
 }
 
-// requiredByFloor reports whether s has to get the request: requests fail, and s had none for
-// so long that the service would fall below its floor. It covers loads at which many targets
-// are estimated as gray, some of them wrongly.
-func (h *Holder) requiredByFloor(s *state, a AcquireRequest, now time.Time) bool {
+// requiredByFloor reports whether s, with the given gray probability, has to get the request:
+// requests fail, and s had none for so long that the service would fall below its floor. It
+// covers loads at which many targets are estimated as gray, some of them wrongly. A request of
+// a VM that could not reach the target would not arrive and is not required.
+func (h *Holder) requiredByFloor(s *state, gray float64, a AcquireRequest, now time.Time) bool {
 	unused := now.Sub(s.health.lastGrant)
 	if a.Hedge || unused < unusedIdempotent || !a.Failing && !h.failures.aboveLimit(now) {
 		return false
 	}
+	if now.Sub(s.health.unreachableAt[a.Caller.VM]) < unreachableMemory {
+		return false
+	}
 	if a.Idempotent {
 		return true
 	}
-	eachTarget := a.Failing || h.failures.exceeds(floorFailureShare, now)
-	return unused >= unusedAny && (eachTarget || h.belowFloor(now))
+	usable := gray < grayLimit && (a.Failing || h.failures.exceeds(floorFailureShare, now))
+	return unused >= unusedAny && (usable || h.belowFloor(now))
 }
--- a/core/target/health.go
+++ b/core/target/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -112,10 +113,13 @@
 	paths  map[string]*decayingProbability // by entry VM
 	// lastGrant is when the target was last granted to a request. Any request serves as
 	// a trial.
-	lastGrant   time.Time
-	lastSuccess time.Time   // when the last normal answer ended
-	coldUntil   time.Time   // end of the cold start that the target announced
-	grants      []time.Time // within rateWindow
+	lastGrant time.Time
+	// unreachableAt is when each entry VM last failed to connect to the target, since its
+	// last answered request.
+	unreachableAt map[string]time.Time
+	lastSuccess   time.Time   // when the last normal answer ended
+	coldUntil     time.Time   // end of the cold start that the target announced
+	grants        []time.Time // within rateWindow
 }
 
 // placesByHealth reports whether the service places requests by health estimates
@@ -215,6 +219,7 @@
 func (h *Holder) updateHealth(p *permit, r Release, now time.Time) {
 	e := &p.target.health
 	h.recordOutcome(r.Outcome, now)
+	e.recordArrival(p, r.Outcome, now)
 	switch r.Outcome {
 	case OK:
 		h.recordAnswerTime(p.route, r.Latency)
@@ -223,6 +228,7 @@
 			return
 		}
 		e.lastSuccess = now
+		delete(e.unreachableAt, p.vm)
 		e.update(p.vm, (1-grayFailureShare)/(1-healthyFailureShare), now)
 	case Error, Truncated, Lost, Unreachable:
 		e.update(p.vm, grayFailureShare/healthyFailureShare, now)
@@ -235,6 +241,24 @@
 	}
 }
 
+// recordArrival undoes the record of a grant whose request did not reach the target, so that
+// the target still counts as unused.
+func (e *healthEstimate) recordArrival(p *permit, o Outcome, now time.Time) {
+	if o != Unreachable && o != Unused {
+		return
+	}
+	if e.lastGrant.Equal(p.issuedAt) {
+		e.lastGrant = p.previousGrant
+	}
+	if o == Unreachable {
+		if e.unreachableAt == nil {
+			e.unreachableAt = map[string]time.Time{}
+		}
+		maps.DeleteFunc(e.unreachableAt, func(_ string, at time.Time) bool { return now.Sub(at) >= unreachableMemory })
+		e.unreachableAt[p.vm] = now
+	}
+}
+
 // recordAnswerTime adds an answer time to the distribution of the route.
 func (h *Holder) recordAnswerTime(route string, d time.Duration) {
 	t := h.answerTimes[route]
@@ -278,7 +302,8 @@
 	out := make([]candidate, 0, len(h.targets))
 	for _, s := range h.targets {
 		if s.open && !slices.Contains(a.Avoid, s.doc.ID) {
-			out = append(out, candidate{s, h.grayProbability(s, a.Caller.VM, now), h.busySlots(s, now), h.requiredByFloor(s, a, now)})
+			gray := h.grayProbability(s, a.Caller.VM, now)
+			out = append(out, candidate{s, gray, h.busySlots(s, now), h.requiredByFloor(s, gray, a, now)})
 		}
 	}
 	return out
--- a/core/target/holder.go
+++ b/core/target/holder.go
@@ -96,7 +96,9 @@
 	// generation is the caller's report generation at the acquire.
 	generation uint32
 	issuedAt   time.Time
-	deadline   time.Time
+	// previousGrant is when the target was granted before.
+	previousGrant time.Time
+	deadline      time.Time
 	// mayIdle is true when the entry VM may keep the permit unused for a while.
 	mayIdle bool
 	// adopted is true when another holder issued the permit, at an unknown time.
