target: learn what each target serves at once

With placement by health estimates the holder used all slots of each target, although targets differ in speed, slow down when nearly full and shed requests when full. With Config.Anticipate it learns each target's speed, lowers a target's limit when requests wait inside it or when it sheds only while full, raises it after 3 s (doubling), lifts it after 3 s without a request, and lets it rise from the cold limit with each answer after an episode, a pause or a drain. The free slots that it reports leave out targets that are probably gray.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -60,6 +60,8 @@
 	TargetCold
 	// TargetWarm: a target reached its full number of slots.
 	TargetWarm
+	// TargetLimited: the learned limit of a target fell below its slots.
+	TargetLimited
 	// TargetDraining: a target receives no new requests.
 	TargetDraining
 	// TargetPaused: a target asked this VM for a pause.
@@ -98,7 +100,7 @@
 	ContactLost: "contact_lost", ContactBack: "contact_back",
 	LeaseHeld: "lease_held", LeaseLost: "lease_lost", GroupReady: "group_ready", GroupBusy: "group_busy",
 	TargetEjected: "target_ejected", TargetReturned: "target_returned", EjectionRefused: "ejection_refused",
-	TargetCold: "target_cold", TargetWarm: "target_warm", TargetDraining: "target_draining", TargetPaused: "target_paused",
+	TargetCold: "target_cold", TargetWarm: "target_warm", TargetLimited: "target_limited", TargetDraining: "target_draining", TargetPaused: "target_paused",
 	PathAvoided: "path_avoided", DomainOut: "domain_out", DomainIn: "domain_in",
 	RequestPoisoned: "request_poisoned", KeyRevoked: "key_withdrawn",
 	DutyFailed: "duty_failed", MessageShed: "message_shed", PeerRefused: "peer_refused",
--- a/core/target/check.go
+++ b/core/target/check.go
@@ -99,8 +99,12 @@
 func (h *Holder) Status() []Status {
 	all := make([]Status, 0, len(h.targets))
 	for _, s := range h.targets {
+		limit := h.limit(s)
+		if h.placesByHealth() && s.capacity.limit > 0 {
+			limit = min(limit, s.capacity.limit)
+		}
 		all = append(all, Status{
-			Target: s.doc.ID, InUse: s.inUse, Limit: h.limit(s),
+			Target: s.doc.ID, InUse: s.inUse, Limit: limit,
 			Cold: s.ramp.cold, Ejected: s.eject.active, Open: s.open, Score: s.score.value,
 		})
 	}
--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -71,6 +71,7 @@
 	if h.placesByHealth() && a.Idempotent {
 		g.HedgeAfter = h.hedgeAfter(s, a.Caller.VM, a.Route, now)
 	}
+	h.noteGrant(s, p, now)
 	s.inUse++
 	s.lastGrant = now
 	s.running[permitKey{a.Caller.Instance, h.lastID}] = p
--- a/core/target/health.go
+++ b/core/target/health.go
@@ -263,7 +263,7 @@
 		if !h.hasCapacity(c, now) || hasHealthy && !c.maySend(a, now) {
 			continue
 		}
-		if cost := c.expectedLoss(a, now); cost < bestCost {
+		if cost := c.expectedLoss(a, h.loadShare(c, now), now); cost < bestCost {
 			best, bestCost = c.state, cost
 		}
 	}
@@ -310,7 +310,7 @@
 
 // hasCapacity reports whether the target has a free slot and is below its rate limit.
 func (h *Holder) hasCapacity(c candidate, now time.Time) bool {
-	return c.busySlots < c.doc.Slots && c.health.recentGrants(now) < h.rateLimit(c.state, now)
+	return c.busySlots < h.slotLimit(c.state, now) && c.health.recentGrants(now) < h.rateLimit(c.state, now)
 }
 
 // rateLimit returns the highest number of requests to s in rateWindow.
@@ -336,9 +336,9 @@
 	return len(e.grants)
 }
 
-// expectedLoss returns the cost of sending the request to the target.
-func (c candidate) expectedLoss(a AcquireRequest, now time.Time) float64 {
-	cost := loadCost * float64(c.busySlots) / float64(c.doc.Slots)
+// expectedLoss returns the cost of sending the request to the target with the given load.
+func (c candidate) expectedLoss(a AcquireRequest, load float64, now time.Time) float64 {
+	cost := loadCost * load
 	if c.doc.FailureDomain != a.Domain {
 		cost += crossDomainCost
 	}
@@ -422,7 +422,7 @@
 		} else if now.Before(s.health.coldUntil) {
 			mark = " cold"
 		}
-		fmt.Fprintf(&out, "%s %d/%d %.2f %d%s; ", s.doc.ID, h.busySlots(s, now), s.doc.Slots, s.health.posterior(now).target, s.health.recentGrants(now), mark)
+		fmt.Fprintf(&out, "%s %d/%d %.2f %d%s; ", s.doc.ID, h.busySlots(s, now), h.slotLimit(s, now), s.health.posterior(now).target, s.health.recentGrants(now), mark)
 	}
 	return out.String()
 }
--- a/core/target/holder.go
+++ b/core/target/holder.go
@@ -35,6 +35,10 @@
 	Emit func(Event)
 	// RetryBudget is the fleet-wide budget of repeated requests to the service.
 	RetryBudget FleetRetryBudget
+	// Anticipate makes the holder learn how many requests each target serves at once, and
+	// report the slots that it would grant as free. It affects only placement by health
+	// estimates. Default: false.
+	Anticipate bool
 	// Defect injects a deliberate fault into a randomised test run. Default: none.
 	Defect Defect
 }
@@ -72,10 +76,14 @@
 	lastID      uint64
 	baseline    baseline
 	answerTimes map[string]*latencyHistogram // by route
-	limitShare  float64                      // set by SetShare; 0 until then
-	retryBudget FleetRetryBudget
-	repeats     repeatCounter
-	failures    failureCounter
+	anticipate  bool
+	references  map[string]*reference // by route
+	// partialSheds counts the sheds and answers of targets with free slots.
+	partialSheds failureCounter
+	limitShare   float64 // set by SetShare; 0 until then
+	retryBudget  FleetRetryBudget
+	repeats      repeatCounter
+	failures     failureCounter
 	// lastSeen is when each VM last called.
 	lastSeen map[string]time.Time
 	takeover takeover
@@ -98,6 +106,9 @@
 	mayIdle bool
 	// adopted is true when another holder issued the permit, at an unknown time.
 	adopted bool
+	// concurrency is the highest number of requests that were on the target together with
+	// this one, itself included.
+	concurrency int
 	// ageStrikes is how often the permit's age has been recorded as a bad outcome.
 	ageStrikes int
 }
@@ -117,24 +128,29 @@
 	// running holds the permits in use.
 	running map[permitKey]*permit
 	health  healthEstimate
+	// capacity is learned only with Config.Anticipate.
+	capacity capacity
 }
 
 // NewHolder returns the state of a new lease. It issues no permits before Tick has
 // ended the takeover.
 func NewHolder(c Config, now time.Time) *Holder {
 	h := &Holder{
-		view:        c.View,
-		members:     c.Members,
-		emit:        c.Emit,
-		defect:      c.Defect,
-		retryBudget: c.RetryBudget,
-		permits:     map[permitKey]*permit{},
-		ended:       map[permitKey]time.Time{},
-		lastID:      c.FirstPermit,
-		lastSeen:    map[string]time.Time{},
-		answerTimes: map[string]*latencyHistogram{},
-		repeats:     newRepeatCounter(),
-		failures:    newFailureCounter(),
+		view:         c.View,
+		members:      c.Members,
+		emit:         c.Emit,
+		defect:       c.Defect,
+		retryBudget:  c.RetryBudget,
+		permits:      map[permitKey]*permit{},
+		ended:        map[permitKey]time.Time{},
+		lastID:       c.FirstPermit,
+		lastSeen:     map[string]time.Time{},
+		answerTimes:  map[string]*latencyHistogram{},
+		anticipate:   c.Anticipate,
+		references:   map[string]*reference{},
+		partialSheds: newFailureCounter(),
+		repeats:      newRepeatCounter(),
+		failures:     newFailureCounter(),
 	}
 	if h.emit == nil {
 		h.emit = func(Event) {}
@@ -238,6 +254,9 @@
 	if doc.State == document.Draining && !wasDraining {
 		h.emitEvent(event.TargetDraining, s, "ticket %d, %d requests in use", h.view.Ticket, s.inUse)
 	}
+	if s.open && !wasOpen && h.anticipate {
+		h.beginReturn(s, now)
+	}
 	if s.open && !wasOpen && !h.placesByHealth() {
 		h.clearEjection(s)
 		h.turnCold(s, now, "returned to service")
@@ -246,6 +265,9 @@
 
 // FreeSlots returns the number of permits that can be issued now.
 func (h *Holder) FreeSlots(now time.Time) int {
+	if h.anticipate && h.placesByHealth() {
+		return h.anticipatedFreeSlots(now)
+	}
 	free := 0
 	for _, s := range h.targets {
 		if h.usable(s, now) {
--- a/core/target/outlier.go
+++ b/core/target/outlier.go
@@ -80,6 +80,7 @@
 	s := p.target
 	if h.placesByHealth() {
 		h.updateHealth(p, r, now)
+		h.learnCapacity(p, r, now)
 		return
 	}
 	switch r.Outcome {
