pool: choose groups by expected load with AnticipateLoad

Entry VMs use target.OrderGroups in place of the last responses, ask one group without waiting if a free slot is expected there, and choose again before they queue. Calls count as slots in use until a response includes them, and the estimate is dropped when the holder changes.

With placement by health estimates Admission refuses each acquire without a wait, because its longest wait of 0 is never above the expected one: on an idle fleet with three groups 50 requests took 150 acquires, 100 of them refused, and each refusal counted as a failed request for the floor rule. With AnticipateLoad the holder serves such an acquire from free slots and otherwise responds without a refusal: 50 acquires, none refused. Without the setting nothing changes.

--- a/core/target/anticipate.go
+++ b/core/target/anticipate.go
@@ -97,18 +97,20 @@
 	Slots int
 	// Unreachable is true when the last call to the holder failed a moment ago.
 	Unreachable bool
+	// Unreported is the number of the decider's own calls for a slot that no response
+	// includes yet.
+	Unreported int
 
 	room, usual float64
 	known       bool
 	age         time.Duration
-	unreported  int
 }
 
 // Load returns the state of the group for OrderGroups.
 func (e *LoadEstimate) Load(slots int, now time.Time) EstimatedLoad {
 	return EstimatedLoad{
 		Slots: slots, room: e.room, usual: e.usual, known: !e.respondedAt.IsZero(),
-		age: now.Sub(e.respondedAt), unreported: e.unreported(),
+		age: now.Sub(e.respondedAt), Unreported: e.unreported(),
 	}
 }
 
@@ -130,7 +132,7 @@
 			rooms[i] = usual + (l.room-usual)*decay(l.age, turnover)
 		}
 		if l.Slots > 0 {
-			rooms[i] -= float64(l.unreported) / float64(l.Slots)
+			rooms[i] -= float64(l.Unreported) / float64(l.Slots)
 		}
 		if l.Slots <= 0 || l.Unreachable {
 			rooms[i] = math.Inf(-1)
@@ -156,13 +158,26 @@
 	return sum / weights
 }
 
-// OrderGroups returns the order in which to ask the groups, as indices into loads: the
-// one with more expected room of two random groups first, and the others by expected
-// room. Groups are drawn in proportion to their slots. Random returns a number in [0, 1).
-func OrderGroups(loads []EstimatedLoad, turnover time.Duration, random func() float64) []int {
-	return orderByRoom(loads, ExpectedRooms(loads, turnover), random)
+// GroupOrder is the order in which to ask groups.
+type GroupOrder struct {
+	// Order holds indices of the groups.
+	Order []int
+	// HasRoom is true when the first group is expected to have a free slot.
+	HasRoom bool
 }
 
+// OrderGroups returns the order in which to ask the groups: the one with more expected
+// room of two random groups first, and the others by expected room. Groups are drawn in
+// proportion to their slots, which keeps all deciders from following the same response to
+// the same group. Random returns a number in [0, 1).
+func OrderGroups(loads []EstimatedLoad, turnover time.Duration, random func() float64) GroupOrder {
+	rooms := ExpectedRooms(loads, turnover)
+	order := orderByRoom(loads, rooms, random)
+	hasRoom := len(order) > 0 && rooms[order[0]]*float64(loads[order[0]].Slots) >= 1
+	return GroupOrder{order, hasRoom}
+}
+
+// orderByRoom returns the order of OrderGroups for the given expected rooms.
 func orderByRoom(loads []EstimatedLoad, rooms []float64, random func() float64) []int {
 	order := make([]int, len(loads))
 	for i := range order {
--- a/core/target/anticipate_test.go
+++ b/core/target/anticipate_test.go
@@ -61,6 +61,7 @@
 	skipUnlessMeasuring(t)
 	choices := []spreadChoice{
 		presentChoice,
+		{"present, no immediate call", spreadPresent, 0, false},
 		{"present, order as built", spreadPresent, 1, true},
 		{"power of two of fresh reports", spreadFresh, 1, true},
 		{"own decisions", spreadOwn, 1, true},
@@ -98,17 +99,17 @@
 	now := time.Unix(100, 0)
 	e := loadAt(5, 0, now)
 	call := e.StartCall()
-	if l := e.Load(10, now); l.unreported != 1 {
-		t.Fatalf("%d calls count as not reported while one is in flight, want 1", l.unreported)
+	if l := e.Load(10, now); l.Unreported != 1 {
+		t.Fatalf("%d calls count as not reported while one is in flight, want 1", l.Unreported)
 	}
 	e.EndCall(call)
-	if l := e.Load(10, now); l.unreported != 0 {
-		t.Fatalf("%d calls count as not reported after the response was lost, want 0", l.unreported)
+	if l := e.Load(10, now); l.Unreported != 0 {
+		t.Fatalf("%d calls count as not reported after the response was lost, want 0", l.Unreported)
 	}
 	first, second := e.StartCall(), e.StartCall()
 	e.Record(second, 3, 0, 10, now)
-	if l := e.Load(10, now); l.unreported != 0 {
-		t.Fatalf("%d calls count although the response to a later call includes them, want 0", l.unreported)
+	if l := e.Load(10, now); l.Unreported != 0 {
+		t.Fatalf("%d calls count although the response to a later call includes them, want 0", l.Unreported)
 	}
 	e.EndCall(first)
 }
@@ -135,7 +136,7 @@
 	empty, lost, busy := loadAt(10, 0, now).Load(0, now), loadAt(10, 0, now).Load(10, now), loadAt(0, 5, now).Load(10, now)
 	lost.Unreachable = true
 	for range 100 {
-		order := OrderGroups([]EstimatedLoad{empty, lost, busy}, time.Second, random.Float64)
+		order := OrderGroups([]EstimatedLoad{empty, lost, busy}, time.Second, random.Float64).Order
 		if order[0] != 2 {
 			t.Fatalf("the order is %v, want the reachable group with slots first", order)
 		}
--- a/core/target/spread_test.go
+++ b/core/target/spread_test.go
@@ -312,7 +312,7 @@
 
 // spreadAged uses the age-weighted estimate without own decisions.
 func spreadAged(w *spread, d int) ([]int, func(int) bool) {
-	return w.orderByEstimate(d, func(l *EstimatedLoad) { l.unreported = 0 })
+	return w.orderByEstimate(d, func(l *EstimatedLoad) { l.Unreported = 0 })
 }
 
 // spreadBuilt is the choice with anticipation.
@@ -327,6 +327,12 @@
 		change(&l)
 		loads = append(loads, l)
 	}
+	o := OrderGroups(loads, spreadMean, w.rng.Float64)
 	rooms := ExpectedRooms(loads, spreadMean)
-	return orderByRoom(loads, rooms, w.rng.Float64), func(g int) bool { return rooms[g]*float64(w.groups[g].slots()) < 1 }
+	return o.Order, func(g int) bool {
+		if g == o.Order[0] {
+			return !o.HasRoom
+		}
+		return rooms[g]*float64(w.groups[g].slots()) < 1
+	}
 }
--- a/core/target/view.go
+++ b/core/target/view.go
@@ -146,6 +146,17 @@
 	return document.Target{}, false
 }
 
+// OpenSlots returns the number of slots of the open targets.
+func (v *View) OpenSlots() int {
+	sum := 0
+	for _, t := range v.Group.Targets {
+		if IsOpen(t, v.OutDomains) {
+			sum += t.Slots
+		}
+	}
+	return sum
+}
+
 // IsOpen reports whether t may get new requests while the failure domains in out are
 // out of service.
 func IsOpen(t document.Target, out map[string]bool) bool {
--- a/node/pool/calls.go
+++ b/node/pool/calls.go
@@ -48,6 +48,8 @@
 // acquireFrom makes one call to the holder with an acquire and the pending
 // releases.
 func (p *Pool) acquireFrom(vm member.VM, c *groupClient, q *acquireRequest, wait time.Duration) *permitUse {
+	call := c.startCall(vm, true)
+	defer c.endCall(call)
 	r, generation := c.newExchange()
 	r.BaselineUs = uint64(p.baseline(c.service).value().Microseconds())
 	r.Acquire = &peerv1.PermitAcquire{
@@ -80,7 +82,7 @@
 	if resp.Permit == 0 && resp.RefusedMs > 0 {
 		q.retryAfter.Store(int64(fromMillis(resp.RefusedMs)))
 	}
-	return c.acceptResponse(q, resp, sent, generation)
+	return c.acceptResponse(q, resp, call, sent, generation)
 }
 
 // exchange calls the holder, or its handler directly when this VM is the
@@ -169,10 +171,10 @@
 
 // acceptResponse turns a response into a permit. It returns nil when the
 // response contains none that may be used.
-func (c *groupClient) acceptResponse(q *acquireRequest, resp *peerv1.ExchangePermitsResponse, sent time.Time, generation uint32) *permitUse {
+func (c *groupClient) acceptResponse(q *acquireRequest, resp *peerv1.ExchangePermitsResponse, call uint64, sent time.Time, generation uint32) *permitUse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordResponse(resp, time.Now())
+	c.recordResponse(resp, call, time.Now())
 	if resp.Permit == 0 {
 		return nil
 	}
@@ -209,6 +211,7 @@
 		return
 	}
 	r.BaselineUs = uint64(p.baseline(c.service).value().Microseconds())
+	call := c.startCall(vm, false)
 	ctx, cancel := context.WithTimeout(context.Background(), callMargin)
 	defer cancel()
 	resp, err := p.exchange(ctx, vm, r)
@@ -219,7 +222,7 @@
 	c.confirmReleases(r.Releases, resp.Holder && !resp.Report)
 	if resp.Holder {
 		c.mu.Lock()
-		c.recordResponse(resp, time.Now())
+		c.recordResponse(resp, call, time.Now())
 		c.mu.Unlock()
 	}
 }
--- a/node/pool/client.go
+++ b/node/pool/client.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenasail/galenasail/core/member"
+	"github.com/galenasail/galenasail/core/target"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
 )
 
@@ -43,6 +44,10 @@
 	free        int
 	queued      int
 	respondedAt time.Time
+	// estimate is the expected load of the group while estimateOf is its holder. It is used
+	// only with Config.AnticipateLoad.
+	estimate   target.LoadEstimate
+	estimateOf holderID
 	// warmAt is when a holder that had completed its takeover last responded
 	// with its warm targets.
 	warmAt time.Time
@@ -155,12 +160,13 @@
 	return nil
 }
 
-// recordResponse records the state in a response of a holder. The caller holds
-// c.mu.
-func (c *groupClient) recordResponse(resp *peerv1.ExchangePermitsResponse, now time.Time) {
+// recordResponse records the state in the response of a holder to a call of startCall.
+// The caller holds c.mu.
+func (c *groupClient) recordResponse(resp *peerv1.ExchangePermitsResponse, call uint64, now time.Time) {
 	c.free = int(resp.Free)
 	c.queued = int(resp.Queued)
 	c.respondedAt = now
+	c.recordLoad(call, now)
 	if resp.Ready {
 		c.warm = resp.Warm
 		c.warmAt = now
--- a/node/pool/entry.go
+++ b/node/pool/entry.go
@@ -133,6 +133,9 @@
 			return u
 		}
 	}
+	if p.config.AnticipateLoad {
+		return p.tryAnticipated(ctx, q, clients)
+	}
 	order := orderByLoad(clients)
 	for i, c := range order {
 		if i == maxImmediateTries || c.looksFull() || (len(order) == 1 && !q.Hedge) {
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -95,7 +95,9 @@
 }
 
 // enqueue adds an acquire to the queue of the group and serves the queue. It
-// refuses an acquire that is not admitted.
+// refuses an acquire that is not admitted. With AnticipateLoad, one without a wait is
+// always admitted: Admission refuses it even when slots are free, and counts a refused
+// request although the caller goes on to another group.
 func (h *holderActor) enqueue(g *heldGroup, e exchangeCall, now time.Time) {
 	a := e.request.Acquire
 	e.waiter.acquire = target.AcquireRequest{
@@ -114,8 +116,10 @@
 	e.waiter.due = due
 	if g.byHealthEstimate() {
 		var expected time.Duration
-		var admitted bool
-		deadline, expected, admitted = g.admit(a, due, now)
+		admitted := true
+		if a.WaitMs > 0 || !h.pool.config.AnticipateLoad {
+			deadline, expected, admitted = g.admit(a, due, now)
+		}
 		if a.Repeat && !g.holder.MayRepeat(now) || !admitted {
 			e.waiter.finish(h.refuse(g, e.waiter, expected, now))
 			return
@@ -130,8 +134,18 @@
 	}
 	h.serveQueue(g)
 	if a.WaitMs == 0 {
-		g.queue.Expire(now, func(w *waiter) { w.finish(h.newResponse(g, w, now)) })
+		g.queue.Expire(now, func(w *waiter) { h.endWait(g, w, w == e.waiter, now) })
+	}
+}
+
+// endWait responds to a request whose time in the queue has passed. One that did not want
+// to wait is not refused.
+func (h *holderActor) endWait(g *heldGroup, w *waiter, immediate bool, now time.Time) {
+	if immediate || !h.pool.config.AnticipateLoad {
+		w.finish(h.newResponse(g, w, now))
+		return
 	}
+	w.finish(h.expiredResponse(g, w, now))
 }
 
 // admit decides whether a request may wait. It returns when the wait ends at
--- a/node/pool/holder.go
+++ b/node/pool/holder.go
@@ -129,6 +129,7 @@
 		FirstPermit: firstPermitID(h.pool.config.Identity.Instance, hold.Epoch, v.Group.Name),
 		Emit:        h.emit,
 		RetryBudget: h.pool.config.FleetRetryBudget,
+		Anticipate:  h.pool.config.AnticipateLoad,
 	}
 	return &heldGroup{
 		shard:  member.ShardOf(v.Group.Name),
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -29,7 +29,8 @@
 	ReportPermits(ctx context.Context, vm member.VM, r *peerv1.ReportPermitsRequest) (*peerv1.ReportPermitsResponse, error)
 }
 
-// Config holds the dependencies of a Pool. All fields but FleetRetryBudget are required.
+// Config holds the dependencies of a Pool. FleetRetryBudget and the fields after it are
+// optional.
 type Config struct {
 	// Identity is this VM.
 	Identity node.Identity
@@ -48,6 +49,11 @@
 	// FleetRetryBudget limits the repeated requests to each service across all VMs.
 	// Default: only the budget of each VM (command.VMRetryBudget) applies.
 	FleetRetryBudget target.FleetRetryBudget
+	// AnticipateLoad chooses groups by their expected load and not by the last response
+	// alone, and makes holders learn what each target serves at once. Default: false.
+	AnticipateLoad bool
+	// OnLoadChoice is called for each choice by expected load. Default: not called.
+	OnLoadChoice func(LoadChoice)
 }
 
 const (
--- a/node/pool/pool_test.go
+++ b/node/pool/pool_test.go
@@ -109,6 +109,12 @@
 
 // newTestCell starts n pools that share a service.
 func newTestCell(t testing.TB, n int, s document.Service) *testCell {
+	return newConfiguredCell(t, n, s, func(*Config) {})
+}
+
+// newConfiguredCell starts n pools that share a service, with configurations that change
+// has changed.
+func newConfiguredCell(t testing.TB, n int, s document.Service, change func(*Config)) *testCell {
 	c := &testCell{t: t, down: map[string]bool{}, events: map[event.Kind]int{}, epoch: 1, list: &member.List{Version: 1}}
 	for i := range n {
 		c.list.VMs = append(c.list.VMs, member.VM{ID: fmt.Sprintf("vm-%02d", i), State: member.Live})
@@ -118,10 +124,12 @@
 		v := testVM{c, i}
 		system := duty.NewSystem(slog.New(slog.DiscardHandler), v)
 		instance, _ := v.InstanceOf(c.list.VMs[i].ID)
-		p := New(Config{
+		config := Config{
 			Identity: node.Identity{VM: c.list.VMs[i], Instance: instance},
 			Configs:  v, Contact: v, Ownership: v, Peer: v, Events: v, System: system,
-		})
+		}
+		change(&config)
+		p := New(config)
 		c.mu.Lock()
 		c.pools = append(c.pools, p)
 		c.mu.Unlock()
