settings: anticipateLoad

The choice of groups by expected load and the learned limits are off unless a VM is told to use them. The setting reaches the pool through node/daemon, and the counter load_choices shows operators how often the expectation was right.

--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -180,6 +180,8 @@
 		Events:           d.recorder,
 		System:           d.system,
 		FleetRetryBudget: d.fleetRetryBudget(),
+		AnticipateLoad:   d.settings.AnticipateLoad,
+		OnLoadChoice:     func(r pool.LoadChoice) { d.requestMetrics.countLoadChoice(r) },
 	})
 }
 
--- a/node/daemon/request_metrics.go
+++ b/node/daemon/request_metrics.go
@@ -11,6 +11,7 @@
 	"github.com/galenasail/galenasail/core/document"
 	"github.com/galenasail/galenasail/core/fault"
 	"github.com/galenasail/galenasail/node"
+	"github.com/galenasail/galenasail/node/pool"
 	"github.com/galenasail/galenasail/node/query"
 )
 
@@ -25,6 +26,8 @@
 	addedLatency tally.Histogram
 	retries      tally.Counter
 	hedges       tally.Counter
+	// loadChoices counts choices by expected load.
+	loadChoices map[pool.LoadChoice]tally.Counter
 	// configAge is the time since a replaced configuration was last known up to date.
 	configAge tally.Histogram
 
@@ -65,6 +68,10 @@
 		hedges:       scope.Counter("second_attempts"),
 		configAge:    scope.Histogram("config_age", configAgeBuckets()),
 		workspaces:   map[string]*workspaceCounts{},
+		loadChoices:  map[pool.LoadChoice]tally.Counter{},
+	}
+	for _, r := range pool.LoadChoices() {
+		c.loadChoices[r] = scope.Tagged(map[string]string{"result": string(r)}).Counter("load_choices")
 	}
 	for _, k := range fault.Kinds() {
 		c.byKind[k] = scope.Tagged(map[string]string{"error": k.String()}).Counter("failed_requests")
@@ -100,6 +107,11 @@
 	c.addedLatency.RecordDuration(d)
 }
 
+// countLoadChoice counts a choice of a target group by expected load.
+func (c *requestMetrics) countLoadChoice(r pool.LoadChoice) {
+	c.loadChoices[r].Inc(1)
+}
+
 // countsOf returns the counts of a workspace; nil when maxCountedWorkspaces others have
 // counters. The caller holds the lock.
 func (c *requestMetrics) countsOf(workspace string) *workspaceCounts {
--- a/node/pool/anticipate.go
+++ b/node/pool/anticipate.go
@@ -23,6 +23,11 @@
 	ChoiceQueued LoadChoice = "queued"
 )
 
+// LoadChoices returns all results of a choice by expected load.
+func LoadChoices() []LoadChoice {
+	return []LoadChoice{ChoiceGranted, ChoiceFull, ChoiceQueued}
+}
+
 // tryAnticipated asks the group with the most expected room without waiting if a free slot
 // is expected there, and then waits in the queue of a group, chosen again with what the
 // first response reported. It returns nil when none granted a permit.
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -59,6 +59,9 @@
 	// MemoryMB is the memory that the process may use, in megabytes; 0 is unknown.
 	// Default: 0.
 	MemoryMB int `json:"memoryMB,omitempty"`
+	// AnticipateLoad makes this VM choose target groups by their expected load, and learn
+	// what each target of the groups that it holds serves at once. Default: false.
+	AnticipateLoad bool `json:"anticipateLoad,omitempty"`
 }
 
 // SmallFleetSeats is the value of Seats for fleets with a small load. With two holders, one
