--- a/core/target/capacity.go
+++ b/core/target/capacity.go
@@ -94,6 +94,15 @@
 	return c.limit
 }
 
+// slotLimitFor returns the limit of s for a request. A request that has waited beyond its due
+// time does not wait until a returning target has all its slots.
+func (h *Holder) slotLimitFor(s *state, overdue bool, now time.Time) int {
+	if overdue && s.capacity.returning {
+		return s.doc.Slots
+	}
+	return h.slotLimit(s, now)
+}
+
 // relativeSpeed returns the speed of s relative to the group; 1 is the usual one.
 func (s *state) relativeSpeed() float64 {
 	stats := &s.capacity.speed
@@ -127,10 +136,9 @@
 	}
 }
 
-// beginReturn makes the limit start at the slots of a cold start and rise with each normal
-// answer.
+// beginReturn makes the limit start at half of the slots and rise with each normal answer.
 func (h *Holder) beginReturn(s *state, now time.Time) {
-	s.capacity.limit = max(1, h.view.Service.ColdSlots)
+	s.capacity.limit = max(1, s.doc.Slots/2)
 	s.capacity.returning = s.capacity.limit < s.doc.Slots
 	s.capacity.changedAt = now
 	s.capacity.forgetLevels()
--- a/core/target/health.go
+++ b/core/target/health.go
@@ -260,7 +260,7 @@
 	var best *state
 	bestCost := math.Inf(1)
 	for _, c := range candidates {
-		if !h.hasCapacity(c, now) || hasHealthy && !c.maySend(a, now) {
+		if !h.hasCapacity(c, a.Overdue, now) || hasHealthy && !c.maySend(a, now) {
 			continue
 		}
 		if cost := c.expectedLoss(a, h.loadShare(c, now), now); cost < bestCost {
@@ -309,8 +309,8 @@
 }
 
 // hasCapacity reports whether the target has a free slot and is below its rate limit.
-func (h *Holder) hasCapacity(c candidate, now time.Time) bool {
-	return c.busySlots < h.slotLimit(c.state, now) && c.health.recentGrants(now) < h.rateLimit(c.state, now)
+func (h *Holder) hasCapacity(c candidate, overdue bool, now time.Time) bool {
+	return c.busySlots < h.slotLimitFor(c.state, overdue, now) && c.health.recentGrants(now) < h.rateLimit(c.state, now)
 }
 
 // rateLimit returns the highest number of requests to s in rateWindow.
