--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -182,6 +182,8 @@
 		System:           d.system,
 		FleetRetryBudget: d.fleetRetryBudget(),
 		LocalDomains:     d.settings.LocalDomains,
+		AnticipateLoad:   d.settings.AnticipateLoad,
+		OnLoadChoice:     func(r pool.LoadChoice) { d.requestMetrics.countLoadChoice(r) },
 	})
 }
 
--- a/node/pool/locality.go
+++ b/node/pool/locality.go
@@ -19,6 +19,12 @@
 	return member.ShardOf(g.Name)
 }
 
+// isRemote reports whether requests of this VM prefer other groups than those of a failure
+// domain.
+func (p *Pool) isRemote(domain string) bool {
+	return len(p.config.LocalDomains) > 0 && domain != "" && domain != p.config.Identity.VM.FailureDomain
+}
+
 // order returns the clients in the order in which they are asked for a permit.
 func (p *Pool) order(clients []*groupClient) []*groupClient {
 	ordered := orderByLoad(clients)
@@ -31,10 +37,9 @@
 // orderByDomain sorts the clients by the expected share of free slots, where groups of other
 // failure domains count as fuller than they are. The order of equal ones is kept.
 func (p *Pool) orderByDomain(clients []*groupClient, now time.Time) {
-	own := p.config.Identity.VM.FailureDomain
 	room := make(map[*groupClient]float64, len(clients))
 	for _, c := range clients {
-		room[c] = target.Room(c.groupLoad(now), c.domain == own)
+		room[c] = target.Room(c.groupLoad(now), !p.isRemote(c.domain))
 	}
 	slices.SortStableFunc(clients, func(a, b *groupClient) int { return cmp.Compare(room[b], room[a]) })
 }
