--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -67,13 +67,16 @@
 		vm:         a.Caller.VM,
 		route:      a.Route,
 		issuedAt:   now,
-		deadline:   now.Add(h.holdWithMargin(min(a.Hold, h.view.LongestHold))),
-		mayIdle:    a.MayIdle,
+
+		previousGrant: s.health.lastGrant,
+		deadline:      now.Add(h.holdWithMargin(min(a.Hold, h.view.LongestHold))),
+		mayIdle:       a.MayIdle,
 	}
 	h.permits[permitKey{a.Caller.Instance, h.lastID}] = p
 	if h.placesByHealth() && a.Idempotent {
 		g.HedgeAfter = h.hedgeAfter(s, a.Caller.VM, a.Route, now)
 	}
+	h.noteGrant(s, p, now)
 	s.inUse++
 	s.lastGrant = now
 	s.running[permitKey{a.Caller.Instance, h.lastID}] = p
--- a/core/target/locality.go
+++ b/core/target/locality.go
@@ -41,14 +41,3 @@
 	}
 	return room
 }
-
-// OpenSlots returns the number of slots of the targets of the group that may get requests.
-func (v *View) OpenSlots() int {
-	n := 0
-	for _, t := range v.Group.Targets {
-		if IsOpen(t, v.OutDomains) {
-			n += t.Slots
-		}
-	}
-	return n
-}
