--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -27,6 +27,9 @@
 	Overdue bool
 	// Repeat is true when an earlier attempt of the request may have reached a target.
 	Repeat bool
+	// Failing is true when many requests for the service are not served, as the entry VM
+	// sees it.
+	Failing bool
 	// Domain is the failure domain of the entry VM.
 	Domain string
 	// MayIdle is true when the caller may keep the permit unused for a while.
@@ -64,13 +67,16 @@
 		vm:         a.Caller.VM,
 		route:      a.Route,
 		issuedAt:   now,
-		deadline:   now.Add(h.holdWithMargin(min(a.Hold, h.view.LongestHold))),
-		mayIdle:    a.MayIdle,
+
+		previousGrant: s.health.lastGrant,
+		deadline:      now.Add(h.holdWithMargin(min(a.Hold, h.view.LongestHold))),
+		mayIdle:       a.MayIdle,
 	}
 	h.permits[permitKey{a.Caller.Instance, h.lastID}] = p
 	if h.placesByHealth() && a.Idempotent {
 		g.HedgeAfter = h.hedgeAfter(s, a.Caller.VM, a.Route, now)
 	}
+	h.noteGrant(s, p, now)
 	s.inUse++
 	s.lastGrant = now
 	s.running[permitKey{a.Caller.Instance, h.lastID}] = p
--- a/node/pool/client.go
+++ b/node/pool/client.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenasail/galenasail/core/member"
+	"github.com/galenasail/galenasail/core/target"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
 )
 
@@ -34,6 +35,7 @@
 	pool    *Pool
 	name    string
 	service string
+	domain  string // failure domain of all targets; empty where they are in several
 	shard   member.Shard
 
 	// mu guards the fields below.
@@ -43,6 +45,10 @@
 	free        int
 	queued      int
 	respondedAt time.Time
+	// estimate is the expected load of the group while estimateOf is its holder. It is used
+	// only with Config.AnticipateLoad.
+	estimate   target.LoadEstimate
+	estimateOf holderID
 	// warmAt is when a holder that had completed its takeover last responded
 	// with its warm targets.
 	warmAt time.Time
@@ -87,12 +93,13 @@
 	instance uint64
 }
 
-func newGroupClient(p *Pool, name, service string) *groupClient {
+func newGroupClient(p *Pool, g *target.Group) *groupClient {
 	return &groupClient{
 		pool:        p,
-		name:        name,
-		service:     service,
-		shard:       member.ShardOf(name),
+		name:        g.Name,
+		service:     g.Service,
+		domain:      g.Domain,
+		shard:       p.shardOf(g),
 		held:        map[uint64]*permit{},
 		unconfirmed: map[uint64]*permit{},
 	}
@@ -155,12 +162,13 @@
 	return nil
 }
 
-// recordResponse records the state in a response of a holder. The caller holds
-// c.mu.
-func (c *groupClient) recordResponse(resp *peerv1.ExchangePermitsResponse, now time.Time) {
+// recordResponse records the state in the response of a holder to a call of startCall.
+// The caller holds c.mu.
+func (c *groupClient) recordResponse(resp *peerv1.ExchangePermitsResponse, call uint64, now time.Time) {
 	c.free = int(resp.Free)
 	c.queued = int(resp.Queued)
 	c.respondedAt = now
+	c.recordLoad(call, now)
 	if resp.Ready {
 		c.warm = resp.Warm
 		c.warmAt = now
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/galenasail/galenasail/core/fault"
-	"github.com/galenasail/galenasail/core/member"
 	"github.com/galenasail/galenasail/core/target"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
 )
@@ -76,9 +75,8 @@
 
 func (e exchangeCall) apply(h *holderActor) {
 	l := h.pool.currentLayout()
-	shard := member.ShardOf(e.request.Group)
-	hold, held := h.exclusiveLease(shard)
-	if l == nil || !held || l.Groups[e.request.Group] == nil {
+	hold, held := h.groupLease(l, e.request.Group)
+	if !held {
 		e.waiter.finish(&peerv1.ExchangePermitsResponse{})
 		return
 	}
@@ -95,7 +93,9 @@
 }
 
 // enqueue adds an acquire to the queue of the group and serves the queue. It
-// refuses an acquire that is not admitted.
+// refuses an acquire that is not admitted. With AnticipateLoad, one without a wait is
+// always admitted: Admission refuses it even when slots are free, and counts a refused
+// request although the caller goes on to another group.
 func (h *holderActor) enqueue(g *heldGroup, e exchangeCall, now time.Time) {
 	a := e.request.Acquire
 	e.waiter.acquire = target.AcquireRequest{
@@ -108,14 +108,17 @@
 		Hedge:      a.Second,
 		Repeat:     a.Repeat,
 		Domain:     a.Domain,
+		Failing:    a.Failing,
 	}
 	deadline := now.Add(fromMillis(a.WaitMs))
 	due := now.Add(fromMillis(a.PatienceMs))
 	e.waiter.due = due
 	if g.byHealthEstimate() {
 		var expected time.Duration
-		var admitted bool
-		deadline, expected, admitted = g.admit(a, due, now)
+		admitted := true
+		if a.WaitMs > 0 || !h.pool.config.AnticipateLoad {
+			deadline, expected, admitted = g.admit(a, due, now)
+		}
 		if a.Repeat && !g.holder.MayRepeat(now) || !admitted {
 			e.waiter.finish(h.refuse(g, e.waiter, expected, now))
 			return
@@ -130,8 +133,18 @@
 	}
 	h.serveQueue(g)
 	if a.WaitMs == 0 {
-		g.queue.Expire(now, func(w *waiter) { w.finish(h.newResponse(g, w, now)) })
+		g.queue.Expire(now, func(w *waiter) { h.endWait(g, w, w == e.waiter, now) })
+	}
+}
+
+// endWait responds to a request whose time in the queue has passed. One that did not want
+// to wait is not refused.
+func (h *holderActor) endWait(g *heldGroup, w *waiter, immediate bool, now time.Time) {
+	if immediate || !h.pool.config.AnticipateLoad {
+		w.finish(h.newResponse(g, w, now))
+		return
 	}
+	w.finish(h.expiredResponse(g, w, now))
 }
 
 // admit decides whether a request may wait. It returns when the wait ends at
@@ -271,8 +284,8 @@
 
 func (r reportCall) apply(h *holderActor) {
 	l := h.pool.currentLayout()
-	hold, held := h.exclusiveLease(member.ShardOf(r.request.Group))
-	if l == nil || !held || l.Groups[r.request.Group] == nil {
+	hold, held := h.groupLease(l, r.request.Group)
+	if !held {
 		r.reply <- false
 		return
 	}
--- a/node/query/holder_addresses.go
+++ b/node/query/holder_addresses.go
@@ -40,10 +40,15 @@
 }
 
 // Addresses returns the addresses that callers should use now; none when no VM is known
-// that could serve.
-func (s *HolderAddresses) Addresses() []string {
+// that could serve. Callers of a failure domain get VMs of that domain if it has a holder;
+// with an empty domain they get all holders.
+func (s *HolderAddresses) Addresses(domain string) []string {
+	vms := s.choose(time.Now())
+	if domain != "" {
+		vms = steer.Local(vms, s.cfg.Configs.List(), domain, s.eligible)
+	}
 	var out []string
-	for _, vm := range s.choose(time.Now()) {
+	for _, vm := range vms {
 		out = append(out, vm.Address)
 	}
 	return out
