command: answers without a final status are not delivered, panics are answered

Change: an answer outside 200 to 599 is unusable: 502 for a non-idempotent request, another attempt within the budget for an idempotent one, a failure of the target, and its connection is not used again. A panic of the handler becomes an event, a failed request and an answer that says that the request may have run.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -87,6 +87,8 @@
 	// RequestDone: a request finished. It is recorded when the request failed, was
 	// refused or retried, or when the caller requested a trace.
 	RequestDone
+	// RequestPanicked: the handler of a request panicked.
+	RequestPanicked
 
 	kindCount
 )
@@ -104,7 +106,7 @@
 	PathAvoided: "path_avoided", DomainOut: "domain_out", DomainIn: "domain_in",
 	RequestPoisoned: "request_poisoned", KeyRevoked: "key_withdrawn",
 	DutyFailed: "duty_failed", MessageShed: "message_shed", PeerRefused: "peer_refused",
-	InvariantViolated: "invariant_violated", RequestDone: "request_done",
+	InvariantViolated: "invariant_violated", RequestDone: "request_done", RequestPanicked: "request_panicked",
 }
 
 // Kinds returns all event kinds in the order of their declaration.
--- a/node/command/answer.go
+++ b/node/command/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -68,13 +69,16 @@
 	return f
 }
 
-// validateAnswer returns a failure for an answer that belongs to another request, that
-// says the request did not run, that is not confirmed to come from the target, that has a
+// validateAnswer returns a failure for an answer that belongs to another request, that has no
+// final status, that says the request did not run, that is not confirmed to come from the target, that has a
 // Content-Encoding which the caller did not request, or whose end cannot be verified.
 func (a *attempt) validateAnswer(resp *http.Response) *failure {
 	if mergedAnswers(resp) {
 		return a.unusableFailure("the answer of the target begins with bytes of another one")
 	}
+	if !isFinalStatus(resp.StatusCode) {
+		return a.unusableFailure(fmt.Sprintf("the answer of the target has status %03d, which is no final HTTP status", resp.StatusCode))
+	}
 	d := a.exchange.h.cfg.Dialect
 	echo := resp.Header.Get(d.RequestID)
 	if echo != a.exchange.id && (echo != "" || d.RequireRequestIDEcho) {
@@ -92,7 +96,7 @@
 		return a.unusableFailure("the answer has a Content-Encoding that the caller did not request")
 	}
 	endless := !hasVerifiableEnd(resp) && !d.AllowCloseDelimited
-	if resp.StatusCode == http.StatusSwitchingProtocols || endless {
+	if endless {
 		return a.truncatedFailure(errNoFraming)
 	}
 	return nil
--- a/node/command/framing.go
+++ b/node/command/framing.go
@@ -124,12 +124,18 @@
 	}
 	status, err := strconv.Atoi(fields[1])
 	f.state = frameHeader
-	if err != nil || containsStatusLine(line[1:]) {
+	interim := status >= 100 && status < 200
+	if err != nil || containsStatusLine(line[1:]) || !interim && !isFinalStatus(status) {
 		f.state = frameUnknown
 	}
 	f.status = status
 }
 
+// isFinalStatus reports whether a status is that of a final answer (RFC 9110, section 15).
+func isFinalStatus(status int) bool {
+	return status >= 200 && status < 600
+}
+
 func (f *framing) readHeader(line string) {
 	if line == "" {
 		f.endHeader()
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -63,6 +63,7 @@
 	if h.closeAfterAnswer.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer ex.recoverPanic()
 	err := ex.serve()
 	if ex.service != nil {
 		h.outcomes.record(ex.service.Name, err == nil && out.status < http.StatusInternalServerError, time.Now())
