core/overload, core/target: decisions for services that cannot serve all

While all targets of a service shed half of their requests, refusals say 0.5 s, which is beyond the objective of most routes, and the retry budget is spent first come, first served. New package core/overload decides retry delays, who gets the budget, the order for slots and which workspaces exceed their usual demand; holders discount sheds that all targets share. Nothing uses it without Config.OverloadControl and ServeRules.

--- /dev/null
+++ b/core/overload/overload_test.go
@@ -0,0 +1,122 @@
+package overload
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drawRequest(t *rapid.T) Request {
+	deadline := time.Duration(rapid.IntRange(10, 12000).Draw(t, "deadline ms")) * time.Millisecond
+	return Request{
+		Deadline: deadline, Rank: rapid.IntRange(0, 20).Draw(t, "rank"),
+		Objective: min(deadline, time.Duration(rapid.IntRange(0, 4000).Draw(t, "objective ms"))*time.Millisecond),
+		Elapsed:   time.Duration(rapid.IntRange(0, 4000).Draw(t, "elapsed ms")) * time.Millisecond,
+		Answer:    time.Duration(rapid.IntRange(0, 1000).Draw(t, "answer ms")) * time.Millisecond,
+	}
+}
+
+// Guards against delays that callers do not honour, that cost the objective although it
+// can still be met, or that are equal for callers refused together.
+func TestRetryDelayLeavesTimeForTheAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := drawRequest(t)
+		first, last := RetryDelay(r, 0), RetryDelay(r, 0.999)
+		if first <= 0 || 3*last > r.Deadline+3*time.Millisecond {
+			t.Fatalf("delays from %v to %v with %v left", first, last, r.Deadline)
+		}
+		if r.Objective-r.Objective/2 >= 2*r.Answer && r.Objective > 4*minRetryDelay && last > r.Objective/2 {
+			t.Fatalf("delay %v with %v left in the objective", last, r.Objective)
+		}
+		if r.Deadline >= time.Second && r.Elapsed >= 4*minRetryDelay && r.Objective == 0 && first == last {
+			t.Fatalf("all callers return after %v", first)
+		}
+	})
+}
+
+// Guards against a budget that is spent on callers that can return, or on less urgent
+// requests first.
+func TestRepeatShareOrdersRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := drawRequest(t)
+		share := RepeatShare(r)
+		if share <= 0 || share > 1 {
+			t.Fatalf("share %v is not in (0, 1]", share)
+		}
+		lower := r
+		lower.Rank++
+		if RepeatShare(lower) > share {
+			t.Fatalf("a lower rank may use %v of the budget, more than %v", RepeatShare(lower), share)
+		}
+		short := r
+		short.Deadline = r.Answer / 2
+		if RepeatShare(short) < share {
+			t.Fatalf("with little time left %v of the budget, less than %v", RepeatShare(short), share)
+		}
+	})
+}
+
+// Guards against workspaces that count as above their usual demand because all have
+// risen, and against one that does not although it alone has.
+func TestExcessIsThatOfOneWorkspace(t *testing.T) {
+	for _, one := range []bool{false, true} {
+		var d Demand
+		now := time.Unix(1000, 0)
+		excess := map[string]int{}
+		for step := range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			for i := range 20 {
+				name := fmt.Sprint(i)
+				many := step >= 1500 && (!one || i == 0)
+				if step%10 == i%10 || many {
+					if d.Record(name, now) {
+						excess[name]++
+					}
+				}
+			}
+		}
+		if got := excess["0"] > 300; got != one {
+			t.Errorf("one workspace risen: %v, but %d of its 500 requests are in excess", one, excess["0"])
+		}
+		delete(excess, "0")
+		if len(excess) > 0 {
+			t.Errorf("one workspace risen: %v, but others are in excess: %v", one, excess)
+		}
+	}
+}
+
+// Guards against first requests that count as returning, and against returning ones that
+// do not.
+func TestElapsedIsTheMissingTime(t *testing.T) {
+	var d Deadlines
+	now := time.Unix(1000, 0)
+	for i := range 400 {
+		now = now.Add(100 * time.Millisecond)
+		if got := d.Elapsed("r", 4*time.Second, now); got != 0 {
+			t.Fatalf("request %d: elapsed %v, want 0", i, got)
+		}
+		if got := d.Elapsed("r", 3*time.Second, now); got != time.Second {
+			t.Fatalf("request %d: elapsed %v, want 1s", i, got)
+		}
+	}
+	d.Retain(func(string) bool { return false })
+	if len(d.routes) != 0 {
+		t.Errorf("%d routes kept, want none", len(d.routes))
+	}
+}
+
+// Guards against refused callers that return together when slots become free.
+func TestReturnsFollowEachOther(t *testing.T) {
+	var s Returns
+	now := time.Unix(1000, 0)
+	previous := time.Duration(0)
+	for i := range 50 {
+		d := s.Delay(100*time.Millisecond, 20*time.Millisecond, time.Minute, 0.5, now)
+		if d != previous+20*time.Millisecond && i > 0 {
+			t.Fatalf("return %d after %v, want 20 ms after the previous one at %v", i, d, previous)
+		}
+		previous = d
+	}
+}
--- a/core/target/due_queue.go
+++ b/core/target/due_queue.go
@@ -21,6 +21,26 @@
 	seq          uint64
 	served       int
 	waiting      []dueEntry[T] // sorted by compareDue
+	rules        ServeRules[T]
+}
+
+// ServeRules restrict which requests a DueQueue serves. The zero value sets no rules.
+type ServeRules[T any] struct {
+	// MayServe reports whether the request may be offered a slot in its turn now.
+	MayServe func(v T) bool
+	// MayProgress reports whether the request that has waited longest may be served
+	// before its turn. Default: it gets one slot in oldestEvery.
+	MayProgress func(v T) bool
+	// Progressed is called when that request got a slot. Required with MayProgress.
+	Progressed func(v T)
+	// Evicted is called for a request that leaves a full queue because another one is
+	// due before it. Default: a full queue takes no requests.
+	Evicted func(v T)
+}
+
+// SetRules sets the rules by which requests are served.
+func (q *DueQueue[T]) SetRules(r ServeRules[T]) {
+	q.rules = r
 }
 
 type dueEntry[T any] struct {
@@ -71,37 +91,65 @@
 			own++
 		}
 	}
-	if len(q.waiting) >= q.total || own >= q.perWorkspace {
+	due = due.Add(time.Duration(own) * workspaceDelay)
+	if own >= q.perWorkspace || len(q.waiting) >= q.total && !q.evictAfter(due) {
 		return false
 	}
 	q.seq++
-	e := dueEntry[T]{workspace, due.Add(time.Duration(own) * workspaceDelay), q.seq, deadline, v}
+	e := dueEntry[T]{workspace, due, q.seq, deadline, v}
 	at, _ := slices.BinarySearchFunc(q.waiting, e, compareDue[T])
 	q.waiting = slices.Insert(q.waiting, at, e)
 	return true
 }
 
+// evictAfter drops the request that is due last if it is due after the given time, and
+// reports whether it did.
+func (q *DueQueue[T]) evictAfter(due time.Time) bool {
+	last := len(q.waiting) - 1
+	if q.rules.Evicted == nil || last < 0 || !q.waiting[last].due.After(due) {
+		return false
+	}
+	v := q.waiting[last].value
+	q.waiting = q.waiting[:last]
+	q.rules.Evicted(v)
+	return true
+}
+
 // Serve offers slots to requests in the order of due times until maxRefusals requests
 // of each kind could not use one.
 func (q *DueQueue[T]) Serve(take func(v T) bool) {
 	refused := map[bool]int{}
 	if q.oldestIsNext() {
-		q.offer(q.oldest(), take, refused)
+		q.offerOldest(take, refused)
 	}
 	for i := 0; i < len(q.waiting) && (refused[false] < maxRefusals || refused[true] < maxRefusals); {
-		if !q.offer(i, take, refused) {
+		held := q.rules.MayServe != nil && !q.rules.MayServe(q.waiting[i].value)
+		if held || !q.offer(i, take, refused) {
 			i++
 			continue
 		}
 		if q.oldestIsNext() && len(refused) == 0 {
-			q.offer(q.oldest(), take, refused)
+			q.offerOldest(take, refused)
 		}
 	}
 }
 
+// offerOldest offers a slot to the request that has waited longest.
+func (q *DueQueue[T]) offerOldest(take func(v T) bool, refused map[bool]int) {
+	at := q.oldest()
+	v := q.waiting[at].value
+	if q.offer(at, take, refused) && q.rules.MayProgress != nil {
+		q.rules.Progressed(v)
+	}
+}
+
 // oldestIsNext reports whether the next slot goes to the request that has waited
 // longest.
 func (q *DueQueue[T]) oldestIsNext() bool {
+	if q.rules.MayProgress != nil {
+		at := q.oldest()
+		return at > 0 && q.rules.MayProgress(q.waiting[at].value)
+	}
 	return len(q.waiting) > 0 && q.served%oldestEvery == oldestEvery-1
 }
 
--- a/core/target/health.go
+++ b/core/target/health.go
@@ -212,6 +212,7 @@
 func (h *Holder) updateHealth(p *permit, r Release, now time.Time) {
 	e := &p.target.health
 	h.recordOutcome(r.Outcome, now)
+	h.recordShed(p.target, r.Outcome, now)
 	switch r.Outcome {
 	case OK:
 		h.recordAnswerTime(p.route, r.Latency)
@@ -225,7 +226,7 @@
 		e.update(p.vm, grayFailureShare/healthyFailureShare, now)
 	case Shed:
 		if h.busySlots(p.target, now) <= p.target.doc.Slots {
-			e.update(p.vm, shedRatio, now)
+			e.update(p.vm, h.shedLikelihoodRatio(p.target, now), now)
 		}
 	case Timeout, Canceled:
 		e.update(p.vm, h.noAnswerRatio(p.route, now.Sub(p.issuedAt)-grantDelay), now)
@@ -263,7 +264,7 @@
 		if !h.hasCapacity(c, now) || hasHealthy && !c.maySend(a, now) {
 			continue
 		}
-		if cost := c.expectedLoss(a, now); cost < bestCost {
+		if cost := c.expectedLoss(a, now) + h.expectedShedLoss(c.state, now); cost < bestCost {
 			best, bestCost = c.state, cost
 		}
 	}
--- a/core/target/holder.go
+++ b/core/target/holder.go
@@ -35,6 +35,9 @@
 	Emit func(Event)
 	// RetryBudget is the fleet-wide budget of repeated requests to the service.
 	RetryBudget FleetRetryBudget
+	// OverloadControl weighs sheds against those of the other targets. It applies to
+	// services with placement by health estimates.
+	OverloadControl bool
 	// Defect injects a deliberate fault into a randomised test run. Default: none.
 	Defect Defect
 }
@@ -76,6 +79,9 @@
 	retryBudget FleetRetryBudget
 	repeats     repeatCounter
 	failures    failureCounter
+	// overloadControl is Config.OverloadControl; shedding is set by UpdateShedding.
+	overloadControl bool
+	shedding        bool
 	// lastSeen is when each VM last called.
 	lastSeen map[string]time.Time
 	takeover takeover
@@ -117,6 +123,7 @@
 	// running holds the permits in use.
 	running map[permitKey]*permit
 	health  healthEstimate
+	sheds   shedCounter
 }
 
 // NewHolder returns the state of a new lease. It issues no permits before Tick has
@@ -128,6 +135,9 @@
 		emit:        c.Emit,
 		defect:      c.Defect,
 		retryBudget: c.RetryBudget,
+
+		overloadControl: c.OverloadControl,
+
 		permits:     map[permitKey]*permit{},
 		ended:       map[permitKey]time.Time{},
 		lastID:      c.FirstPermit,
@@ -149,7 +159,7 @@
 }
 
 func (h *Holder) newState(doc document.Target, now time.Time) *state {
-	s := &state{doc: doc, open: IsOpen(doc, h.view.OutDomains), paths: map[string]*path{}, running: map[permitKey]*permit{}}
+	s := &state{doc: doc, open: IsOpen(doc, h.view.OutDomains), paths: map[string]*path{}, running: map[permitKey]*permit{}, sheds: newShedCounter()}
 	s.health.setColdUntil(doc, now)
 	if h.placesByHealth() {
 		return s
--- a/core/target/repeats.go
+++ b/core/target/repeats.go
@@ -49,9 +49,16 @@
 // of a service is divided among its groups and, in a network partition, by the share
 // that SetShare set.
 func (h *Holder) MayRepeat(now time.Time) bool {
+	return h.MayRepeatWithin(1, now)
+}
+
+// MayRepeatWithin reports whether the group may get another repeated request when only
+// the given share of the budget, 0 to 1, may be used. The rest is kept for others.
+func (h *Holder) MayRepeatWithin(budgetShare float64, now time.Time) bool {
 	if h.retryBudget == (FleetRetryBudget{}) {
 		return true
 	}
+	budget := FleetRetryBudget{Share: h.retryBudget.Share * budgetShare, Reserve: h.retryBudget.Reserve * budgetShare}
 	reserveShare := h.share() / float64(max(1, h.view.GroupCount))
-	return h.repeats.allows(h.retryBudget, reserveShare, now)
+	return h.repeats.allows(budget, reserveShare, now)
 }
--- /dev/null
+++ b/core/target/shedding.go
@@ -0,0 +1,117 @@
+package target
+
+import "time"
+
+const (
+	// shedWindow is the time over which the sheds of a target are counted. It also
+	// bounds how long the group is regarded as shedding after the last shed.
+	shedWindow = time.Second
+	// ordinaryShedShare is the share of requests up to which the sheds of the other
+	// targets do not weaken the evidence of a shed.
+	ordinaryShedShare = 0.1
+	// minShedEvidence is the number of requests at other targets from which their share
+	// of sheds is known.
+	minShedEvidence = 4
+	// shedPrior is the number of requests for which the share of the other targets counts
+	// in the estimate of a target's share.
+	shedPrior = 2
+	// shedLoss is the expected loss of a request that is shed. It can be repeated.
+	shedLoss = 0.15
+	// sheddingShare is the share of requests above which a group counts as shedding, and
+	// half of it the share below which it no longer does.
+	sheddingShare = 0.2
+)
+
+// Kinds of outcomes in the window of sheds.
+const (
+	outcomeTaken = iota
+	outcomeShed
+)
+
+// shedCounter counts the requests that a target took and those that it shed.
+type shedCounter struct{ window }
+
+func newShedCounter() shedCounter {
+	return shedCounter{window{length: shedWindow}}
+}
+
+// recordShed records whether a request that reached s was shed.
+func (h *Holder) recordShed(s *state, o Outcome, now time.Time) {
+	if !h.overloadControl {
+		return
+	}
+	switch o {
+	case Shed:
+		s.sheds.count(outcomeShed, now)
+	case OK, Error, Truncated, Timeout:
+		s.sheds.count(outcomeTaken, now)
+	}
+}
+
+// shedShareOfOthers returns the share of requests that targets other than s shed. It is
+// 0 when they had too few requests.
+func (h *Holder) shedShareOfOthers(s *state, now time.Time) float64 {
+	taken, shed := 0, 0
+	for _, other := range h.targets {
+		if other != s {
+			t, sh := other.sheds.sums(now)
+			taken, shed = taken+t, shed+sh
+		}
+	}
+	if taken+shed < minShedEvidence {
+		return 0
+	}
+	return float64(shed) / float64(taken+shed)
+}
+
+// shedLikelihoodRatio returns the likelihood ratio of a shed by s. The more the other
+// targets of the group shed as well, the less a shed says about this one.
+func (h *Holder) shedLikelihoodRatio(s *state, now time.Time) float64 {
+	if !h.overloadControl {
+		return shedRatio
+	}
+	usual := max(ordinaryShedShare, h.shedShareOfOthers(s, now))
+	return max(1, shedRatio*ordinaryShedShare/usual)
+}
+
+// expectedShedLoss returns the expected loss of a request to s by a shed.
+func (h *Holder) expectedShedLoss(s *state, now time.Time) float64 {
+	if !h.overloadControl {
+		return 0
+	}
+	taken, shed := s.sheds.sums(now)
+	share := (float64(shed) + shedPrior*h.shedShareOfOthers(s, now)) / float64(taken+shed+shedPrior)
+	return shedLoss * share
+}
+
+// ShedShare returns the share of the requests of the last shedWindow that the targets of
+// the group shed.
+func (h *Holder) ShedShare(now time.Time) float64 {
+	return h.shedShareOfOthers(nil, now)
+}
+
+// UpdateShedding updates whether the group counts as shedding, and reports whether that
+// has changed.
+func (h *Holder) UpdateShedding(now time.Time) (shedding, changed bool) {
+	share := h.ShedShare(now)
+	limit := sheddingShare
+	if h.shedding {
+		limit = sheddingShare / 2
+	}
+	changed = h.shedding != (share > limit)
+	h.shedding = share > limit
+	return h.shedding, changed
+}
+
+// IdleSlots returns the number of free slots and of all slots of the targets that are
+// open and probably not gray.
+func (h *Holder) IdleSlots(now time.Time) (idle, all int) {
+	for _, s := range h.targets {
+		if !s.open || s.health.posterior(now).target >= grayLimit {
+			continue
+		}
+		all += s.doc.Slots
+		idle += max(0, s.doc.Slots-h.busySlots(s, now))
+	}
+	return idle, all
+}
