node, core: setting overloadControl on the path of callers

Entry VMs decide with package overload which shed requests are retried and when refused callers return: within the objective while that is possible, spread by 0.5 to 1.5. A new holder does not spend the reserve of the retry budget again in its first 10 s.

--- a/core/overload/order.go
+++ b/core/overload/order.go
@@ -22,8 +22,8 @@
 	// has been refused before.
 	minDueShare = 0.1
 	// longestWaitShare is the share of the time until the deadline that a request may
-	// wait for a slot. A request refused after it can return once more.
-	longestWaitShare = 0.5
+	// wait for a slot, so that a request refused after it can return.
+	longestWaitShare = 1.0 / 3
 )
 
 // Order decides in which order the requests to a target group get slots, beyond their
--- a/core/overload/request.go
+++ b/core/overload/request.go
@@ -60,7 +60,7 @@
 // Random is uniform in [0, 1) and spreads the delays of callers refused together.
 func RetryDelay(r Request, random float64) time.Duration {
 	delay := r.Objective / returnsInObjective
-	if r.Objective-delay < r.margin() {
+	if r.Objective <= 0 || r.Objective-delay < r.margin() {
 		delay = r.Deadline / returnsInDeadline
 		if r.Elapsed > 0 {
 			delay = min(delay, r.Elapsed)
--- a/core/target/repeats.go
+++ b/core/target/repeats.go
@@ -60,5 +60,9 @@
 	}
 	budget := FleetRetryBudget{Share: h.retryBudget.Share * budgetShare, Reserve: h.retryBudget.Reserve * budgetShare}
 	reserveShare := h.share() / float64(max(1, h.view.GroupCount))
+	if h.overloadControl && now.Sub(h.takeover.started) < repeatWindow {
+		// The former holder may have spent the reserve in the same window.
+		reserveShare = 0
+	}
 	return h.repeats.allows(budget, reserveShare, now)
 }
--- a/node/command/admit.go
+++ b/node/command/admit.go
@@ -129,6 +129,9 @@
 		limit = min(limit, requested)
 	}
 	ex.deadline = ex.start.Add(limit)
+	if ex.h.cfg.OverloadControl {
+		ex.returnedAfter = ex.h.returns.elapsed(ex.route.ID, limit, ex.start)
+	}
 	return nil
 }
 
--- a/node/command/budget.go
+++ b/node/command/budget.go
@@ -40,9 +40,15 @@
 
 // takeRetry takes one retry from the budget and reports whether it was available.
 func (b *serviceBudget) takeRetry() bool {
+	return b.takeRetryWithin(1)
+}
+
+// takeRetryWithin takes one retry if at most the given share of the budget, 0 to 1, is
+// spent then. The rest is kept for other requests.
+func (b *serviceBudget) takeRetryWithin(share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent+1 > b.limits.Reserve {
+	if b.spent+1 > share*b.limits.Reserve {
 		return false
 	}
 	b.spent++
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -41,6 +41,8 @@
 	// Hedged counts a second attempt that is started while the first one has not
 	// answered.
 	Hedged(service string)
+	// Withheld counts a request that a target shed and that was refused instead of retried.
+	Withheld(service string)
 }
 
 // Config holds what a Handler needs. Fields without a default are required.
@@ -77,6 +79,9 @@
 	// StartupWait is how long after its creation the handler holds requests while
 	// this VM has no configuration or VM list. Default: requests are refused immediately.
 	StartupWait time.Duration
+	// OverloadControl decides by package overload which requests that a target shed are
+	// retried, and when refused callers return. Default: false.
+	OverloadControl bool
 	// Dial opens connections to targets. Default: TCP with a timeout of 500 ms.
 	Dial DialFunc
 }
@@ -105,6 +110,9 @@
 // Hedged implements Metrics.
 func (noMetrics) Hedged(string) {}
 
+// Withheld implements Metrics.
+func (noMetrics) Withheld(string) {}
+
 func (c Config) withDefaults() Config {
 	if c.Metrics == nil {
 		c.Metrics = noMetrics{}
@@ -134,6 +142,7 @@
 	quarantine       *quarantine
 	notices          *targetNotices
 	reporter         *requestReporter
+	returns          callerReturns
 	running          atomic.Int64
 	closeAfterAnswer atomic.Bool
 	draining         atomic.Bool
@@ -181,6 +190,7 @@
 	}
 	ix := &routeIndex{snapshot: snapshot, routes: route.NewIndex(snapshot.Routes), splitter: h.currentSplitter()}
 	h.index.Store(ix)
+	h.returns.retain(snapshot)
 	return ix
 }
 
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -25,6 +25,9 @@
 		if err != nil && last != nil && last.ran != fault.RanNo {
 			return last.err
 		}
+		if err != nil && last != nil && ex.shedWithControl(last) && fault.KindOf(err) == fault.Overloaded {
+			return ex.shedRefusal(last)
+		}
 		if err != nil {
 			return err
 		}
@@ -33,7 +36,7 @@
 			return nil
 		}
 		if !f.retryApproved && !ex.mayRetry(f) || !ex.body.replayable() {
-			return f.err
+			return ex.refusal(f)
 		}
 		ex.h.cfg.Metrics.Retried(ex.service.Name)
 	}
@@ -122,7 +125,7 @@
 		return 0
 	}
 	objective := time.Duration(ex.route.ObjectiveMs) * time.Millisecond
-	return max(0, objective-time.Since(ex.start))
+	return max(0, objective-time.Since(ex.start)-ex.returnedAfter)
 }
 
 // recordFailure records the failure of an attempt and releases its permit.
@@ -158,7 +161,7 @@
 	case retryWithoutBudget:
 		return true
 	case retryWithinBudget:
-		return ex.h.retryBudgets.forService(ex.service.Name).takeRetry()
+		return ex.h.retryBudgets.forService(ex.service.Name).takeRetryWithin(ex.retryShare(f))
 	case retryIfIdempotent:
 		return ex.allowsSecondRun() && ex.h.retryBudgets.forService(ex.service.Name).takeRetry()
 	}
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -30,7 +30,10 @@
 	query     string      // sent to targets, without the key
 	ctx       context.Context
 	deadline  time.Time
-	body      *callerBody
+	// returnedAfter is the time since the caller first sent the request, as far as the
+	// deadline shows; 0 without overload control.
+	returnedAfter time.Duration
+	body          *callerBody
 	// fingerprint identifies the request in the quarantine table.
 	fingerprint    uint64
 	idempotencyKey string // text of the idempotency key; empty if the caller sent none
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -180,6 +180,7 @@
 		Events:           d.recorder,
 		System:           d.system,
 		FleetRetryBudget: d.fleetRetryBudget(),
+		OverloadControl:  d.settings.OverloadControl,
 	})
 }
 
@@ -195,6 +196,8 @@
 		PoisonMarks: d.cell,
 		Events:      d.recorder,
 		Metrics:     d.requestMetrics,
+
+		OverloadControl: d.settings.OverloadControl,
 	}
 	if a := d.adapter; a != nil {
 		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(), adapterConnsPerTarget, adapterStartWait
--- a/node/daemon/request_metrics.go
+++ b/node/daemon/request_metrics.go
@@ -25,6 +25,7 @@
 	addedLatency tally.Histogram
 	retries      tally.Counter
 	hedges       tally.Counter
+	withheld     tally.Counter
 	// configAge is the time since a replaced configuration was last known up to date.
 	configAge tally.Histogram
 
@@ -63,6 +64,7 @@
 		addedLatency: scope.Histogram("added_latency", addedLatencyBuckets()),
 		retries:      scope.Counter("retries"),
 		hedges:       scope.Counter("second_attempts"),
+		withheld:     scope.Counter("withheld_retries"),
 		configAge:    scope.Histogram("config_age", configAgeBuckets()),
 		workspaces:   map[string]*workspaceCounts{},
 	}
@@ -95,6 +97,11 @@
 	c.hedges.Inc(1)
 }
 
+// Withheld implements command.Metrics.
+func (c *requestMetrics) Withheld(string) {
+	c.withheld.Inc(1)
+}
+
 // AddedLatency implements command.Metrics.
 func (c *requestMetrics) AddedLatency(d time.Duration) {
 	c.addedLatency.RecordDuration(d)
--- a/node/pool/entry.go
+++ b/node/pool/entry.go
@@ -87,10 +87,11 @@
 		if u := p.tryGroups(ctx, q); u != nil {
 			return u, nil
 		}
-		if q.queueFull.Load() {
+		after := q.retryAfter.Load()
+		if q.queueFull.Load() && (after == 0 || !p.config.OverloadControl) {
 			return nil, fault.New(fault.Overloaded, "the queue of a group of service %s is full", r.Service.Name)
 		}
-		if after := q.retryAfter.Load(); after > 0 {
+		if after > 0 {
 			return nil, fault.NewWithDelay(fault.Overloaded, time.Duration(after), "no slot of service %s is expected in time", r.Service.Name)
 		}
 		sleep(ctx, wait)
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -120,9 +120,7 @@
 	}
 	if !g.queue.Push(a.Workspace, d.due, d.deadline, e.waiter) {
 		h.serveQueue(g)
-		resp := h.newResponse(g, e.waiter, now)
-		resp.Queued = target.QueueTotal
-		e.waiter.finish(resp)
+		e.waiter.finish(h.queueFull(g, e.waiter, d.expected, now))
 		return
 	}
 	h.serveQueue(g)
@@ -188,6 +186,16 @@
 	return resp
 }
 
+// queueFull returns the response to a request for which the queue has no room.
+func (h *holderActor) queueFull(g *heldGroup, w *waiter, wait time.Duration, now time.Time) *peerv1.ExchangePermitsResponse {
+	if g.control != nil {
+		return h.refuse(g, w, wait, now)
+	}
+	resp := h.newResponse(g, w, now)
+	resp.Queued = target.QueueTotal
+	return resp
+}
+
 // serveQueue grants permits to waiting callers while there are free slots.
 func (h *holderActor) serveQueue(g *heldGroup) {
 	if g.queue.Len() == 0 {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -59,6 +59,11 @@
 	// MemoryMB is the memory that the process may use, in megabytes; 0 is unknown.
 	// Default: 0.
 	MemoryMB int `json:"memoryMB,omitempty"`
+	// OverloadControl decides by priority, time left and usual demand which requests are
+	// served, repeated or refused while a service cannot serve all, and when refused
+	// callers return. It applies to services that are placed by health estimates. Default:
+	// false.
+	OverloadControl bool `json:"overloadControl,omitempty"`
 }
 
 // SmallFleetSeats is the value of Seats for fleets with a small load. With two holders, one
