--- a/core/overload/deadlines.go
+++ b/core/overload/deadlines.go
@@ -18,6 +18,8 @@
 type routeDeadline struct {
 	longest, previous time.Duration
 	began             time.Time
+	// returnedAt is when the last returning caller was seen.
+	returnedAt time.Time
 }
 
 // Elapsed records the time that the caller of a request has left and returns the time
@@ -35,7 +37,18 @@
 		r.previous, r.longest, r.began = r.longest, 0, now
 	}
 	r.longest = max(r.longest, left)
-	return max(r.longest, r.previous) - left
+	elapsed := max(r.longest, r.previous) - left
+	if elapsed >= minRetryDelay {
+		r.returnedAt = now
+	}
+	return elapsed
+}
+
+// ShowReturns reports whether the deadlines of a route have shown returning callers
+// within deadlineWindow.
+func (d *Deadlines) ShowReturns(route string, now time.Time) bool {
+	r := d.routes[route]
+	return r != nil && now.Sub(r.returnedAt) < deadlineWindow
 }
 
 // Retain drops the routes that are not listed.
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -12,9 +12,10 @@
 	deadline := time.Duration(rapid.IntRange(10, 12000).Draw(t, "deadline ms")) * time.Millisecond
 	return Request{
 		Deadline: deadline, Rank: rapid.IntRange(0, 20).Draw(t, "rank"),
-		Objective: min(deadline, time.Duration(rapid.IntRange(0, 4000).Draw(t, "objective ms"))*time.Millisecond),
-		Elapsed:   time.Duration(rapid.IntRange(0, 4000).Draw(t, "elapsed ms")) * time.Millisecond,
-		Answer:    time.Duration(rapid.IntRange(0, 1000).Draw(t, "answer ms")) * time.Millisecond,
+		Objective:    min(deadline, time.Duration(rapid.IntRange(0, 4000).Draw(t, "objective ms"))*time.Millisecond),
+		Elapsed:      time.Duration(rapid.IntRange(0, 4000).Draw(t, "elapsed ms")) * time.Millisecond,
+		ShowsReturns: rapid.Bool().Draw(t, "shows returns"),
+		Answer:       time.Duration(rapid.IntRange(0, 1000).Draw(t, "answer ms")) * time.Millisecond,
 	}
 }
 
--- a/core/overload/repeat.go
+++ b/core/overload/repeat.go
@@ -6,7 +6,8 @@
 	// returnInTimeShare is the share for requests whose callers can return and still get
 	// an answer within the objective.
 	returnInTimeShare = 0.5
-	// returnedShare is the share for those of them whose callers have returned before.
+	// returnedShare is the share for those of them whose callers have returned before, or
+	// may have.
 	returnedShare = 0.8
 	// returnLateShare is the share for requests whose callers can return in time for
 	// the deadline only.
@@ -28,7 +29,7 @@
 		share = 1
 	} else if r.Objective-r.Objective/returnsInObjective < r.margin() {
 		share = returnLateShare
-	} else if r.Elapsed >= minRetryDelay {
+	} else if r.Elapsed >= minRetryDelay || !r.ShowsReturns {
 		share = returnedShare
 	}
 	return share - min(maxRankShare, rankShare*float64(r.Rank))
--- a/core/overload/request.go
+++ b/core/overload/request.go
@@ -33,6 +33,8 @@
 	// Elapsed is the time since the caller first sent the request, as far as its deadline
 	// shows.
 	Elapsed time.Duration
+	// ShowsReturns is true when the deadlines of the route show which callers return.
+	ShowsReturns bool
 	// Answer is the mean answer time of the route.
 	Answer time.Duration
 	// Rank orders requests by priority, 0 is the most urgent. See RankOf.
--- a/core/target/overload_test.go
+++ b/core/target/overload_test.go
@@ -255,7 +255,7 @@
 	elapsed := d.Elapsed(c.kind.name, c.left(w.now), w.now)
 	return overload.Request{
 		Deadline: c.left(w.now), Objective: max(0, c.kind.objective-elapsed), Elapsed: elapsed,
-		Answer: answer, Rank: overload.RankOf(0, c.kind.priority),
+		ShowsReturns: d.ShowReturns(c.kind.name, w.now), Answer: answer, Rank: overload.RankOf(0, c.kind.priority),
 	}
 }
 
--- a/node/command/overload.go
+++ b/node/command/overload.go
@@ -29,6 +29,13 @@
 	return c.deadlines.Elapsed(route, left, now)
 }
 
+// shown reports whether the deadlines of a route show which callers return.
+func (c *callerReturns) shown(route string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.deadlines.ShowReturns(route, now)
+}
+
 // retain drops the routes that a new configuration lacks.
 func (c *callerReturns) retain(s *document.Snapshot) {
 	known := make(map[string]bool, len(s.Routes))
@@ -68,8 +75,11 @@
 		Deadline:  time.Until(ex.deadline),
 		Objective: max(0, objective-elapsed),
 		Elapsed:   elapsed,
-		Answer:    time.Duration(assumedAnswerShare * float64(objective)),
-		Rank:      overload.RankOf(workspacePriority, ex.route.Priority),
+
+		ShowsReturns: ex.h.returns.shown(ex.route.ID, time.Now()),
+
+		Answer: time.Duration(assumedAnswerShare * float64(objective)),
+		Rank:   overload.RankOf(workspacePriority, ex.route.Priority),
 	}
 }
 
--- a/node/pool/overload.go
+++ b/node/pool/overload.go
@@ -66,7 +66,11 @@
 		d.admitted = d.expected == 0 && left > answer
 	}
 	if a.Repeat {
-		d.withheld = !g.holder.MayRepeatWithin(repeatShare(a, place.Rank, elapsed, answer), now)
+		share := repeatShare(a, overload.Request{
+			Deadline: left, Objective: w.Objective, Elapsed: elapsed, Answer: answer, Rank: place.Rank,
+			ShowsReturns: c.deadlines.ShowReturns(a.Route, now),
+		})
+		d.withheld = !g.holder.MayRepeatWithin(share, now)
 	}
 	return d
 }
@@ -74,13 +78,11 @@
 // repeatShare returns the share of the retry budget up to which the request may be
 // repeated. An earlier attempt of an idempotent request may have run, so that its caller
 // cannot be told to return; it is not restricted.
-func repeatShare(a *peerv1.PermitAcquire, rank int, elapsed, answer time.Duration) float64 {
+func repeatShare(a *peerv1.PermitAcquire, r overload.Request) float64 {
 	if a.Idempotent {
 		return 1
 	}
-	return overload.RepeatShare(overload.Request{
-		Deadline: fromMillis(a.HoldMs), Objective: fromMillis(a.ObjectiveMs), Elapsed: elapsed, Answer: answer, Rank: rank,
-	})
+	return overload.RepeatShare(r)
 }
 
 // retainRoutes drops what is known about routes that a new configuration lacks.
