node/command: spread default retry delays with overloadControl

Callers refused together, for example by the rate limit of their workspace, were all told 500 ms and returned together. Ten refused callers get at least three delays (go test ./command -run Together).

--- a/core/overload/request.go
+++ b/core/overload/request.go
@@ -68,12 +68,12 @@
 			delay = min(delay, r.Elapsed)
 		}
 	}
-	return spread(delay, r.Deadline, random)
+	return SpreadDelay(delay, r.Deadline, random)
 }
 
-// spread returns a delay of 0.5 to 1.5 times the given one, within the limits that a
-// caller with this deadline honours.
-func spread(delay, deadline time.Duration, random float64) time.Duration {
+// SpreadDelay returns a delay of 0.5 to 1.5 times the given one, within the limits that a
+// caller with this time left until its deadline honours. Random is uniform in [0, 1).
+func SpreadDelay(delay, deadline time.Duration, random float64) time.Duration {
 	delay = time.Duration((0.5 + random) * float64(delay))
 	longest := time.Duration(longestDelayShare * float64(deadline))
 	return min(max(delay, minRetryDelay), max(longest, time.Millisecond))
--- a/core/overload/returns.go
+++ b/core/overload/returns.go
@@ -20,5 +20,5 @@
 		s.next = earliest
 	}
 	s.next = s.next.Add(interval)
-	return spread(s.next.Sub(now), deadline, random)
+	return SpreadDelay(s.next.Sub(now), deadline, random)
 }
--- a/node/command/overload.go
+++ b/node/command/overload.go
@@ -98,3 +98,16 @@
 	delay := overload.RetryDelay(ex.overloadRequest(), rand.Float64())
 	return fault.NewWithDelay(fault.Overloaded, delay, "%s", fault.From(f.err).Detail)
 }
+
+// spreadReturn spreads the default delay of an error that lets the caller return, so that
+// callers refused together do not return together.
+func (ex *exchange) spreadReturn(e *fault.Error) *fault.Error {
+	answer := e.Kind.Answer()
+	left := time.Until(ex.deadline)
+	if !ex.h.cfg.OverloadControl || e.RetryDelay > 0 || answer.RetryDelay == 0 || answer.Retry != fault.RetryYes || left <= 0 {
+		return e
+	}
+	spread := *e
+	spread.RetryDelay = overload.SpreadDelay(answer.RetryDelay, left, rand.Float64())
+	return &spread
+}
--- a/node/command/overload_test.go
+++ b/node/command/overload_test.go
@@ -59,6 +59,21 @@
 	f.wantViolations()
 }
 
+// Guards against callers that are refused together, for any reason, and return together.
+func TestRefusedCallersDoNotReturnTogether(t *testing.T) {
+	f, _ := startControlled(t, 1, 1)
+	f.admit = func() error { return fault.New(fault.RateLimited, "the workspace is above its rate") }
+	delays := map[string]bool{}
+	for range 10 {
+		a := f.do("POST", "/post/x", "body")
+		f.wantKind(a, fault.RateLimited)
+		delays[a.Header.Get("Retry-After")] = true
+	}
+	if len(delays) < 3 {
+		t.Errorf("only %d different delays for 10 callers", len(delays))
+	}
+}
+
 // Guards against a budget that is spent on callers that can return, and against one that
 // is kept although a request has no time left for a return.
 func TestShedRequestWithLittleTimeIsRetried(t *testing.T) {
