--- a/core/overload/order.go
+++ b/core/overload/order.go
@@ -3,13 +3,6 @@
 import "time"
 
 const (
-	// headroomShare is the share of the slots of a group that only the most urgent
-	// requests get, so that these find a slot while others use the rest.
-	headroomShare = 0.1
-	// minHeadroomSlots is the number of slots from which a group has headroom.
-	minHeadroomSlots = 5
-	// urgentMemory is how long the arrival of an urgent request keeps the headroom.
-	urgentMemory = time.Second
 	// progressShare is the share of the slots for requests that are served before their
 	// turn because they have waited longest.
 	progressShare = 0.1
@@ -30,9 +23,6 @@
 // due times. The zero value is ready for use.
 type Order struct {
 	demand Demand
-	// urgentRank is the rank of the most urgent request since urgentAt less urgentMemory.
-	urgentRank int
-	urgentAt   time.Time
 	// nextProgress is when the next request may be served before its turn.
 	nextProgress time.Time
 	// excess counts the requests in excess of the usual demand of their workspaces.
@@ -55,7 +45,7 @@
 
 // Place is the place of a request in the order.
 type Place struct {
-	// Rank is the rank for the headroom and the retry budget.
+	// Rank is the rank for the retry budget.
 	Rank int
 	// DueAfter is the delay by which the request is ordered in the queue.
 	DueAfter time.Duration
@@ -78,9 +68,6 @@
 		p.DueAfter += excessDueFactor * a.DueAfter
 		o.excess++
 	}
-	if p.Rank <= o.urgentRank || now.Sub(o.urgentAt) > urgentMemory {
-		o.urgentRank, o.urgentAt = p.Rank, now
-	}
 	return p
 }
 
@@ -90,15 +77,6 @@
 	return o.excess
 }
 
-// MayTake reports whether a request of the given rank may take one of the idle slots of
-// all slots of the group. Less urgent ones leave the headroom to the most urgent.
-func (o *Order) MayTake(rank, idle, all int, now time.Time) bool {
-	if rank <= o.urgentRank || all < minHeadroomSlots || now.Sub(o.urgentAt) > urgentMemory {
-		return true
-	}
-	return float64(idle) > headroomShare*float64(all)
-}
-
 // MayProgress reports whether the request that has waited longest may be served before
 // its turn.
 func (o *Order) MayProgress(now time.Time) bool {
--- a/core/target/due_queue.go
+++ b/core/target/due_queue.go
@@ -26,8 +26,6 @@
 
 // ServeRules restrict which requests a DueQueue serves. The zero value sets no rules.
 type ServeRules[T any] struct {
-	// MayServe reports whether the request may be offered a slot in its turn now.
-	MayServe func(v T) bool
 	// MayProgress reports whether the request that has waited longest may be served
 	// before its turn. Default: it gets one slot in oldestEvery.
 	MayProgress func(v T) bool
@@ -123,8 +121,7 @@
 		q.offerOldest(take, refused)
 	}
 	for i := 0; i < len(q.waiting) && (refused[false] < maxRefusals || refused[true] < maxRefusals); {
-		held := q.rules.MayServe != nil && !q.rules.MayServe(q.waiting[i].value)
-		if held || !q.offer(i, take, refused) {
+		if !q.offer(i, take, refused) {
 			i++
 			continue
 		}
--- a/core/target/overload_test.go
+++ b/core/target/overload_test.go
@@ -17,8 +17,9 @@
 	name                      string
 	perSecond                 float64
 	work, objective, deadline time.Duration
-	priority                  int
-	idempotent                bool
+	// priority is that of the route.
+	priority, workspacePriority int
+	idempotent                  bool
 	// extra returns a factor of the rate.
 	extra func(at time.Duration) float64
 	// workspace is the only workspace of the kind, empty for all.
@@ -62,7 +63,6 @@
 	avoid     []string
 	attempts  int
 	shed      bool
-	rank      int
 }
 
 // simulatedVM is an entry VM with its local retry budget.
@@ -78,8 +78,6 @@
 	order     overload.Order
 	returns   overload.Returns
 	deadlines overload.Deadlines
-	// idle and slots are those of the holder during a pass over the queue.
-	idle, slots int
 }
 
 type overloadSimulation struct {
@@ -149,10 +147,9 @@
 
 func (w *overloadSimulation) rules(g *simulatedGroup) ServeRules[*simulatedCaller] {
 	return ServeRules[*simulatedCaller]{
-		MayServe:    func(c *simulatedCaller) bool { return g.order.MayTake(c.rank, g.idle, g.slots, w.now) },
 		MayProgress: func(*simulatedCaller) bool { return g.order.MayProgress(w.now) },
 		Progressed: func(c *simulatedCaller) {
-			g.order.Progressed(g.holder.MeanAnswerTime(c.kind.name), g.slots, w.now)
+			g.order.Progressed(g.holder.MeanAnswerTime(c.kind.name), g.holder.Capacity(w.now), w.now)
 		},
 		Evicted: func(c *simulatedCaller) { w.after(0, func() { w.refuseAtHolder(g, c, 0) }) },
 	}
@@ -255,7 +252,7 @@
 	elapsed := d.Elapsed(c.kind.name, c.left(w.now), w.now)
 	return overload.Request{
 		Deadline: c.left(w.now), Objective: max(0, c.kind.objective-elapsed), Elapsed: elapsed,
-		ShowsReturns: d.ShowReturns(c.kind.name, w.now), Answer: answer, Rank: overload.RankOf(0, c.kind.priority),
+		ShowsReturns: d.ShowReturns(c.kind.name, w.now), Answer: answer, Rank: overload.RankOf(c.kind.workspacePriority, c.kind.priority),
 	}
 }
 
@@ -277,13 +274,13 @@
 // enqueue mirrors the holder side of node/pool.
 func (w *overloadSimulation) enqueue(g *simulatedGroup, c *simulatedCaller) (wait time.Duration, ok bool) {
 	left, answer := c.left(w.now), g.holder.MeanAnswerTime(c.kind.name)
-	dueAfter := time.Duration((1 + 0.5*float64(c.kind.priority)) * float64(c.kind.objective))
+	dueAfter := time.Duration((1 + 0.5*float64(c.kind.priority) + 2*float64(c.kind.workspacePriority)) * float64(c.kind.objective))
 	r := WaitRequest{DueAfter: dueAfter, Objective: max(0, c.kind.objective-w.now.Sub(c.sentAt)), Wait: left, Hold: left}
 	due, share := w.now.Add(dueAfter), 1.0
 	if w.control {
 		q := w.request(c, answer, &g.deadlines)
 		p := g.order.Arrive(overload.Arrival{Workspace: c.workspace, Rank: q.Rank, DueAfter: dueAfter, Deadline: left, Elapsed: q.Elapsed, Repeat: c.shed}, w.now)
-		c.rank, q.Rank = p.Rank, p.Rank
+		q.Rank = p.Rank
 		due, share = w.now.Add(p.DueAfter), overload.RepeatShare(q)
 		r.Wait, r.Objective = p.Wait, q.Objective
 	}
@@ -297,14 +294,12 @@
 }
 
 func (w *overloadSimulation) serve(g *simulatedGroup) {
-	g.idle, g.slots = g.holder.IdleSlots(w.now)
 	g.queue.Serve(func(c *simulatedCaller) bool {
 		grant, ok := g.holder.Acquire(AcquireRequest{
 			Caller: grayCaller, Hold: c.left(w.now), Avoid: c.avoid, Route: c.kind.name,
 			Idempotent: c.kind.idempotent, Repeat: c.shed, Domain: "a",
 		}, w.now)
 		if ok {
-			g.idle--
 			g.admission.RecordGrant(g.queue.Len() > 1, w.now)
 			w.runAt(g, c, grant)
 		}
@@ -543,17 +538,21 @@
 }
 
 // Guards against a workspace at 7.5 times its usual demand that costs the others their
-// objective, and against one that gets less than its usual demand because of its excess.
+// objective, also when its priority is higher, and against one that gets less than its
+// usual demand because of its excess.
 func TestWorkspaceAboveItsUsualDemand(t *testing.T) {
 	const factor = 7.5
-	big := bookings(80)
-	big.name, big.workspace, big.extra = "big", "big", duringEvent(factor)
-	l := overloadLoad{kinds: []overloadKind{bookings(1150), big}, maxSends: 3, length: eventFrom + eventFor}
-	_, controlled := playOverload(t, 2, l, eventFrom, l.length)
-	if share := controlled["bookings"].inTimeShare(); share < 1-objectiveTolerance {
-		t.Errorf("other workspaces: %.3f in time, want at least %.3f", share, 1-objectiveTolerance)
-	}
-	if share := controlled["big"].servedShare(); share < 1/factor {
-		t.Errorf("the workspace: %.3f served, want at least its usual demand, %.3f", share, 1/factor)
+	for _, priority := range []int{0, 1} {
+		others, big := bookings(1050), bookings(80)
+		others.workspacePriority = priority
+		big.name, big.workspace, big.extra = "big", "big", duringEvent(factor)
+		l := overloadLoad{kinds: []overloadKind{others, big}, maxSends: 3, length: eventFrom + eventFor}
+		_, controlled := playOverload(t, 2, l, eventFrom, l.length)
+		if share := controlled["bookings"].inTimeShare(); share < 1-objectiveTolerance {
+			t.Errorf("other workspaces of priority %d: %.3f in time, want at least %.3f", priority, share, 1-objectiveTolerance)
+		}
+		if share := controlled["big"].servedShare(); share < 1/factor {
+			t.Errorf("the workspace: %.3f served, want at least its usual demand, %.3f", share, 1/factor)
+		}
 	}
 }
--- a/core/target/shedding.go
+++ b/core/target/shedding.go
@@ -102,16 +102,3 @@
 	h.shedding = share > limit
 	return h.shedding, changed
 }
-
-// IdleSlots returns the number of free slots and of all slots of the targets that are
-// open and probably not gray.
-func (h *Holder) IdleSlots(now time.Time) (idle, all int) {
-	for _, s := range h.targets {
-		if !s.open || s.health.posterior(now).target >= grayLimit {
-			continue
-		}
-		all += s.doc.Slots
-		idle += max(0, s.doc.Slots-h.busySlots(s, now))
-	}
-	return idle, all
-}
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -26,8 +26,7 @@
 	acquire target.AcquireRequest
 	// due is when the request should have a slot.
 	due time.Time
-	// rank is the rank of the request with overload control, arrivedAt when it arrived.
-	rank      int
+	// arrivedAt is when the request arrived at the holder.
 	arrivedAt time.Time
 	state     atomic.Int32
 	reply     chan *peerv1.ExchangePermitsResponse
@@ -201,9 +200,6 @@
 	if g.queue.Len() == 0 {
 		return
 	}
-	if g.control != nil {
-		g.control.idle, g.control.slots = g.holder.IdleSlots(time.Now())
-	}
 	g.queue.Serve(func(w *waiter) bool { return h.grantPermit(g, w) })
 }
 
@@ -228,9 +224,6 @@
 	}
 	h.checkGrant(g, grant, now)
 	g.admission.RecordGrant(g.queue.Len() > 1, now)
-	if g.control != nil {
-		g.control.idle--
-	}
 	resp := h.newResponse(g, w, now)
 	resp.Permit = grant.Permit
 	// The queue still contains the caller itself.
--- a/node/pool/overload.go
+++ b/node/pool/overload.go
@@ -23,8 +23,6 @@
 	deadlines overload.Deadlines
 	// layout is the layout whose routes are in deadlines.
 	layout *layout
-	// idle and slots are the free slots and all slots during a pass over the queue.
-	idle, slots int
 	// refused, evicted and withheld count the refused requests, those of them that left a
 	// full queue, and the repeats for which the retry budget was kept for others.
 	refused, evicted, withheld int
@@ -43,8 +41,7 @@
 	admitted, withheld bool
 }
 
-// admitWithControl decides whether a request may wait with overload control. It stores
-// the rank of the request in its waiter.
+// admitWithControl decides whether a request may wait with overload control.
 func (h *holderActor) admitWithControl(g *heldGroup, e exchangeCall, now time.Time) admission {
 	a, c := e.request.Acquire, g.control
 	l := h.pool.currentLayout()
@@ -56,7 +53,6 @@
 		Workspace: a.Workspace, Rank: l.rank(a.Workspace, a.Route), DueAfter: fromMillis(a.PatienceMs),
 		Deadline: left, Elapsed: elapsed, Repeat: a.Repeat,
 	}, now)
-	e.waiter.rank = place.Rank
 	d := admission{due: now.Add(place.DueAfter)}
 	w := waitRequest(a)
 	w.Wait = min(w.Wait, place.Wait)
@@ -121,10 +117,10 @@
 func (h *holderActor) serveRules(g *heldGroup) target.ServeRules[*waiter] {
 	c := g.control
 	return target.ServeRules[*waiter]{
-		MayServe:    func(w *waiter) bool { return c.order.MayTake(w.rank, c.idle, c.slots, time.Now()) },
 		MayProgress: func(*waiter) bool { return c.order.MayProgress(time.Now()) },
 		Progressed: func(w *waiter) {
-			c.order.Progressed(g.holder.MeanAnswerTime(w.acquire.Route), c.slots, time.Now())
+			now := time.Now()
+			c.order.Progressed(g.holder.MeanAnswerTime(w.acquire.Route), g.holder.Capacity(now), now)
 		},
 		Evicted: func(w *waiter) {
 			c.evicted++
