--- a/core/target/health.go
+++ b/core/target/health.go
@@ -260,11 +260,12 @@
 	hasHealthy := slices.ContainsFunc(candidates, func(c candidate) bool { return c.gray < grayLimit })
 	var best *state
 	bestCost := math.Inf(1)
+	sheds := h.shedTotals(now)
 	for _, c := range candidates {
 		if !h.hasCapacity(c, now) || hasHealthy && !c.maySend(a, now) {
 			continue
 		}
-		if cost := c.expectedLoss(a, now) + h.expectedShedLoss(c.state, now); cost < bestCost {
+		if cost := c.expectedLoss(a, now) + h.expectedShedLoss(c.state, sheds, now); cost < bestCost {
 			best, bestCost = c.state, cost
 		}
 	}
--- a/core/target/serve_rules_test.go
+++ b/core/target/serve_rules_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/galenasail/galenasail/core/document"
 )
 
 // Guards against a queue full of requests that are due late, which takes no urgent ones,
@@ -64,3 +66,32 @@
 		t.Errorf("%d requests served before their turn, want 1", late)
 	}
 }
+
+// Guards against a group in which all targets shed and each of them is taken for gray,
+// and against one target that sheds alone and is not.
+func TestShedByAllTargetsIsNoEvidenceAgainstOne(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		w := newGraySimulation(1, document.ByHealthEstimate, 6)
+		h := NewHolder(Config{View: w.holder.view, OverloadControl: true}, w.now)
+		for i := range 240 {
+			now := w.now.Add(time.Duration(i) * 10 * time.Millisecond)
+			s := h.targets[i%len(h.targets)]
+			o := OK
+			if i/len(h.targets)%2 == 0 && (all || s == h.targets[0]) {
+				o = Shed
+			}
+			h.updateHealth(&permit{target: s, vm: "vm-1", issuedAt: now.Add(-2 * time.Millisecond)}, Release{Outcome: o, Latency: 100 * time.Millisecond}, now)
+		}
+		now := w.now.Add(2400 * time.Millisecond)
+		shedding, changed := h.UpdateShedding(now)
+		if shedding != all || changed != all {
+			t.Errorf("all targets shed: %v, but the group counts as shedding: %v", all, shedding)
+		}
+		if ratio := h.shedLikelihoodRatio(h.targets[0], now); (ratio == 1) != all {
+			t.Errorf("all targets shed: %v, likelihood ratio of a shed %.2f", all, ratio)
+		}
+		if shedding, changed = h.UpdateShedding(now.Add(2 * shedWindow)); shedding || changed != all {
+			t.Errorf("all targets shed: %v, but the group counts as shedding after the end", all)
+		}
+	}
+}
--- a/core/target/shedding.go
+++ b/core/target/shedding.go
@@ -48,20 +48,31 @@
 	}
 }
 
-// shedShareOfOthers returns the share of requests that targets other than s shed. It is
-// 0 when they had too few requests.
-func (h *Holder) shedShareOfOthers(s *state, now time.Time) float64 {
-	taken, shed := 0, 0
-	for _, other := range h.targets {
-		if other != s {
-			t, sh := other.sheds.sums(now)
-			taken, shed = taken+t, shed+sh
-		}
+// shedTotals are the requests that the targets of a group took and shed.
+type shedTotals struct{ taken, shed int }
+
+// shedTotals returns the requests of the last shedWindow. They are 0 without overload
+// control.
+func (h *Holder) shedTotals(now time.Time) shedTotals {
+	var all shedTotals
+	if !h.overloadControl {
+		return all
+	}
+	for _, s := range h.targets {
+		taken, shed := s.sheds.sums(now)
+		all.taken, all.shed = all.taken+taken, all.shed+shed
 	}
-	if taken+shed < minShedEvidence {
+	return all
+}
+
+// shareWithout returns the share of requests that were shed, without those of one target.
+// It is 0 when there were too few others.
+func (t shedTotals) shareWithout(taken, shed int) float64 {
+	others := t.taken + t.shed - taken - shed
+	if others < minShedEvidence {
 		return 0
 	}
-	return float64(shed) / float64(taken+shed)
+	return float64(t.shed-shed) / float64(others)
 }
 
 // shedLikelihoodRatio returns the likelihood ratio of a shed by s. The more the other
@@ -70,24 +81,25 @@
 	if !h.overloadControl {
 		return shedRatio
 	}
-	usual := max(ordinaryShedShare, h.shedShareOfOthers(s, now))
+	usual := max(ordinaryShedShare, h.shedTotals(now).shareWithout(s.sheds.sums(now)))
 	return max(1, shedRatio*ordinaryShedShare/usual)
 }
 
-// expectedShedLoss returns the expected loss of a request to s by a shed.
-func (h *Holder) expectedShedLoss(s *state, now time.Time) float64 {
-	if !h.overloadControl {
+// expectedShedLoss returns the expected loss of a request to s by a shed, where all are
+// the sheds of the group.
+func (h *Holder) expectedShedLoss(s *state, all shedTotals, now time.Time) float64 {
+	if all.shed == 0 {
 		return 0
 	}
 	taken, shed := s.sheds.sums(now)
-	share := (float64(shed) + shedPrior*h.shedShareOfOthers(s, now)) / float64(taken+shed+shedPrior)
+	share := (float64(shed) + shedPrior*all.shareWithout(taken, shed)) / float64(taken+shed+shedPrior)
 	return shedLoss * share
 }
 
 // ShedShare returns the share of the requests of the last shedWindow that the targets of
 // the group shed.
 func (h *Holder) ShedShare(now time.Time) float64 {
-	return h.shedShareOfOthers(nil, now)
+	return h.shedTotals(now).shareWithout(0, 0)
 }
 
 // UpdateShedding updates whether the group counts as shedding, and reports whether that
