--- a/core/target/health.go
+++ b/core/target/health.go
@@ -220,6 +220,7 @@
 	e := &p.target.health
 	h.recordOutcome(r.Outcome, now)
 	e.recordArrival(p, r.Outcome, now)
+	h.recordShedShare(p.target, r.Outcome, now)
 	switch r.Outcome {
 	case OK:
 		h.recordAnswerTime(p.route, r.Latency)
@@ -234,7 +235,7 @@
 		e.update(p.vm, grayFailureShare/healthyFailureShare, now)
 	case Shed:
 		if h.busySlots(p.target, now) <= p.target.doc.Slots {
-			e.update(p.vm, shedRatio, now)
+			e.update(p.vm, h.shedLikelihoodRatio(p.target, now), now)
 		}
 	case Timeout, Canceled:
 		e.update(p.vm, h.noAnswerRatio(p.route, now.Sub(p.issuedAt)-grantDelay), now)
@@ -286,11 +287,13 @@
 	hasHealthy := slices.ContainsFunc(candidates, func(c candidate) bool { return c.gray < grayLimit })
 	var best *state
 	bestCost := math.Inf(1)
+	sheds := h.shedTotals(now)
 	for _, c := range candidates {
 		if !h.hasCapacity(c, a.Overdue, now) || hasHealthy && !c.maySend(a, now) {
 			continue
 		}
-		if cost := c.expectedLoss(a, h.loadShare(c, now), now); cost < bestCost {
+		cost := c.expectedLoss(a, h.loadShare(c, now), now) + h.expectedShedLoss(c.state, sheds, now)
+		if cost < bestCost {
 			best, bestCost = c.state, cost
 		}
 	}
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -184,6 +184,7 @@
 		LocalDomains:     d.settings.LocalDomains,
 		AnticipateLoad:   d.settings.AnticipateLoad,
 		OnLoadChoice:     func(r pool.LoadChoice) { d.requestMetrics.countLoadChoice(r) },
+		OverloadControl:  d.settings.OverloadControl,
 	})
 }
 
@@ -199,6 +200,8 @@
 		PoisonMarks: d.cell,
 		Events:      d.recorder,
 		Metrics:     d.requestMetrics,
+
+		OverloadControl: d.settings.OverloadControl,
 	}
 	if a := d.adapter; a != nil {
 		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(), adapterConnsPerTarget, adapterStartWait
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -58,6 +58,9 @@
 	AnticipateLoad bool
 	// OnLoadChoice is called for each choice by expected load. Default: not called.
 	OnLoadChoice func(LoadChoice)
+	// OverloadControl orders, repeats and refuses requests as package overload decides,
+	// for services that are placed by health estimates. Default: false.
+	OverloadControl bool
 }
 
 const (
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -66,6 +66,11 @@
 	// AnticipateLoad makes this VM choose target groups by their expected load, and learn
 	// what each target of the groups that it holds serves at once. Default: false.
 	AnticipateLoad bool `json:"anticipateLoad,omitempty"`
+	// OverloadControl decides by priority, time left and usual demand which requests are
+	// served, repeated or refused while a service cannot serve all, and when refused
+	// callers return. It applies to services that are placed by health estimates. Default:
+	// false.
+	OverloadControl bool `json:"overloadControl,omitempty"`
 }
 
 // SmallFleetSeats is the value of Seats for fleets with a small load. With two holders, one
