Order the store's content by epoch and revision

Cause: after the store returned from an older copy, revisions went back and were assigned again, so the fleet kept the old tickets and two contents could have one ticket. Change: a ticket carries the store epoch above bit 40; the mirror reads the content anew when the epoch changes and refuses a lower one; the registry keeps what the fleet knew of targets and failure domains, and the configuration with the higher version, until the store reports a write of the key or a period has passed; a VM refuses an index with a lower configuration version. Indexes of stores without the header are as before.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -293,7 +293,10 @@
 	freshness    freshness
 	// settledTicket is the highest ticket that was applied or refused.
 	settledTicket uint64
-	behind        bool
+	// contestedTicket is the highest ticket that is in use with a content that this VM
+	// does not apply although its ticket is high enough.
+	contestedTicket uint64
+	behind          bool
 
 	pending *pending
 	// collected holds the documents collected for the pending ticket, by digest.
@@ -402,6 +405,12 @@
 // before the first ones.
 func (m *Machine) RawIndexAndList() (index, list []byte) { return m.indexRaw, m.listRaw }
 
+// ContestedTicket returns the highest ticket under which a peer or the platform has a
+// content that this VM does not apply, because its configuration version is lower or
+// because another content is applied here under the same ticket; 0 for none. Only a
+// higher ticket makes the VMs agree again.
+func (m *Machine) ContestedTicket() uint64 { return m.contestedTicket }
+
 // Role returns how the VM currently reads the platform.
 func (m *Machine) Role() Role { return m.role }
 
--- a/core/config/fetch.go
+++ b/core/config/fetch.go
@@ -393,6 +393,21 @@
 	return 2*answered >= n || (now.Sub(m.start) >= StartupQueryWindow && answered+failed >= n)
 }
 
+// PeersAsked reports whether this VM has learned what its peers have in force as far as
+// they can be reached: a configuration is applied, or enough peers and all seeds have
+// answered without one, or StartupQueryWindow has passed.
+func (m *Machine) PeersAsked(now time.Time) bool {
+	if m.snapshot != nil || now.Sub(m.start) >= StartupQueryWindow {
+		return true
+	}
+	for _, seed := range m.fetch.seeds {
+		if _, tried := m.fetch.lastTried[seed]; !tried {
+			return false
+		}
+	}
+	return m.list != nil && m.queriedEnoughPeers(now) && m.highestTicketApplied(now)
+}
+
 // highestTicketApplied reports whether no higher ticket is being collected or reported
 // by a peer than the one applied here.
 func (m *Machine) highestTicketApplied(now time.Time) bool {
--- a/core/config/pending.go
+++ b/core/config/pending.go
@@ -69,6 +69,7 @@
 // reportConflict reports, once for each content, that the applied ticket also exists
 // with another content.
 func (m *Machine) reportConflict(ticket uint64, digest uint32, from string) {
+	m.contestedTicket = max(m.contestedTicket, ticket)
 	if m.refused.add(ticket, digest) {
 		m.reportRefusal(&document.ValidationError{
 			Ticket: ticket, Document: indexKey, Field: "digest",
@@ -77,6 +78,18 @@
 	}
 }
 
+// refuseLowerVersion rejects an index whose configuration version is lower than the one
+// in force. Its ticket does not count as settled: the content that comes with it is
+// still expected under a higher ticket.
+func (m *Machine) refuseLowerVersion(ix *document.Index, digest uint32, from string) {
+	m.contestedTicket = max(m.contestedTicket, ix.Ticket)
+	m.refused.add(ix.Ticket, digest)
+	m.reportRefusal(&document.ValidationError{
+		Ticket: ix.Ticket, Document: indexKey, Field: "configVersion",
+		Reason: fmt.Sprintf("%s has configuration version %d, lower than version %d, which is in force", from, ix.ConfigVersion, m.snapshot.ConfigVersion()),
+	})
+}
+
 // considerIndex processes an index read from the given peer, or from the platform when
 // peer is empty. Docs are its documents where they came with it, else nil.
 func (m *Machine) considerIndex(now time.Time, raw []byte, docs document.Content, peer string) {
@@ -98,6 +111,9 @@
 		return
 	case ix.Ticket == m.snapshot.Ticket() && digest == m.digest:
 		return
+	case ix.ConfigVersion < m.snapshot.ConfigVersion():
+		m.refuseLowerVersion(ix, digest, describeSource(peer))
+		return
 	}
 	if p := m.pending; docs == nil && p != nil && ix.Ticket <= p.index.Ticket && now.Sub(p.lastProgress) < pendingTimeout {
 		if digest == p.digest && peer == "" && !p.fromPlatform {
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -36,6 +36,10 @@
 type Index struct {
 	// Ticket is the number of the newest ticket.
 	Ticket uint64 `json:"ticket"`
+	// ConfigVersion is the operator's version of the configuration, which only rises; 0
+	// when there is none. It is independent of the ticket: a store that returns from an
+	// older copy has an older version under a new ticket.
+	ConfigVersion uint64 `json:"configVersion,omitempty"`
 	// Documents lists all documents in effect.
 	Documents []IndexEntry `json:"documents"`
 }
--- a/core/document/snapshot.go
+++ b/core/document/snapshot.go
@@ -47,6 +47,15 @@
 	return s.Index.Ticket
 }
 
+// ConfigVersion returns the operator's version of the configuration; 0 for none and for
+// a nil snapshot.
+func (s *Snapshot) ConfigVersion() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Index.ConfigVersion
+}
+
 // WorkspaceByKey returns the workspace to which a plain-text key belongs.
 func (s *Snapshot) WorkspaceByKey(key string) (*Workspace, bool) {
 	w, ok := s.byKey[KeyDigest(key)]
@@ -159,7 +168,7 @@
 func IndexDigest(ix *Index) string {
 	entries := append([]IndexEntry(nil), ix.Documents...)
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Name < entries[j].Name })
-	raw, err := json.Marshal(Index{Ticket: ix.Ticket, Documents: entries})
+	raw, err := json.Marshal(Index{Ticket: ix.Ticket, ConfigVersion: ix.ConfigVersion, Documents: entries})
 	if err != nil {
 		return ""
 	}
--- a/core/document/ticket.go
+++ b/core/document/ticket.go
@@ -79,6 +79,7 @@
 	next := &Index{Ticket: t.Ticket, Documents: []IndexEntry{}}
 	contents := make(Content, len(content)+len(t.Documents))
 	if old != nil {
+		next.ConfigVersion = old.ConfigVersion
 		for _, e := range old.Documents {
 			if _, changed := t.Documents[e.Name]; !changed {
 				next.Documents = append(next.Documents, e)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -28,6 +28,8 @@
 	ConfigBehind
 	// ConfigCurrent: the configuration in effect is known to be the newest one again.
 	ConfigCurrent
+	// StoreEpoch: a configuration of another store epoch took effect on this VM.
+	StoreEpoch
 	// ListApplied: a VM list took effect on this VM.
 	ListApplied
 	// PlatformLost: the platform stopped answering this VM.
@@ -92,7 +94,7 @@
 var names = [kindCount]string{
 	Started: "started", Stopping: "stopping", Stopped: "stopped",
 	ConfigApplied: "config_applied", ConfigRefused: "config_refused",
-	ConfigBehind: "config_behind", ConfigCurrent: "config_current", ListApplied: "list_applied",
+	ConfigBehind: "config_behind", ConfigCurrent: "config_current", StoreEpoch: "store_epoch", ListApplied: "list_applied",
 	PlatformLost: "platform_lost", PlatformBack: "platform_back",
 	PeerLost: "peer_lost", PeerBack: "peer_back",
 	ContactLost: "contact_lost", ContactBack: "contact_back",
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -7,8 +7,8 @@
 import (
 	"encoding/json"
 	"maps"
-	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -53,10 +53,16 @@
 // Configuration is the configuration set by the operator, without targets and failure
 // domains.
 type Configuration struct {
+	// Version is the operator's version, which only rises; 0 where it does not matter,
+	// because the store never returns from an older copy.
+	Version uint64
 	// Services holds the services, each without targets.
 	Services   []document.Service
 	Workspaces []document.Workspace
 	Routes     []document.Route
+	// documents holds the documents of workspaces and routes, which replace Workspaces
+	// and Routes; nil for a configuration read from the store.
+	documents document.Content
 }
 
 // Registration is the store's entry of one target.
@@ -74,9 +80,21 @@
 	// Domain is a failure domain that was taken out of service (DomainOut) or brought back.
 	Domain    string
 	DomainOut bool
-	// Key identifies a registration; Registration is nil when it was removed.
+	// Key is the target's ID in a registration; Registration is nil when it was removed.
 	Key          string
 	Registration *Registration
+	// Revision is the revision of the change; 0 when unknown.
+	Revision uint64
+}
+
+// Answer describes an answer of the store and what this VM knows when it arrives.
+type Answer struct {
+	// At is the position of the store.
+	At Position
+	// Outage is what this VM knows about an outage that ends with the answer.
+	Outage Outage
+	Known  Known
+	Now    time.Time
 }
 
 // retainedTarget is a registration that vanished while the store was unavailable and is
@@ -93,7 +111,8 @@
 	domainsOut    map[string]bool
 	entries       map[string]Registration
 	retained      map[string]retainedTarget
-	revision      uint64
+	carried       carryState
+	position      Position
 	index         *document.Index
 	content       document.Content
 }
@@ -110,32 +129,43 @@
 	}
 }
 
-// Revision returns the store revision up to which changes have been applied.
-func (r *Registry) Revision() uint64 { return r.revision }
+// Position returns the position of the store up to which changes have been applied.
+func (r *Registry) Position() Position { return r.position }
 
-// Reset replaces the registry's content by the full content of the store at a revision.
-func (r *Registry) Reset(all []Change, revision uint64, outage Outage, now time.Time) {
-	previous := r.entries
+// Reset replaces the registry's content by the full content of the store. The caller
+// must not pass an answer with an epoch lower than that of the registry or of the
+// applied documents.
+func (r *Registry) Reset(all []Change, a Answer) {
+	entries, domainsOut := r.entries, r.domainsOut
 	r.entries = map[string]Registration{}
 	r.domainsOut = map[string]bool{}
 	for _, c := range all {
 		r.applyChange(c)
 	}
-	r.retainVanished(previous, outage, now)
-	r.revision = revision
+	if a.At.Epoch > r.position.Epoch {
+		r.beginEpoch(a)
+	} else {
+		r.releaseMissing(entries, domainsOut, a)
+		r.retainVanished(entries, a.Outage, a.Now)
+	}
+	for _, c := range all {
+		r.release(c, a.Now)
+	}
+	r.position = a.At
 }
 
-// Apply applies the changes up to a revision.
-func (r *Registry) Apply(changes []Change, revision uint64, outage Outage, now time.Time) {
+// Apply applies the changes of the registry's epoch up to a.At.
+func (r *Registry) Apply(changes []Change, a Answer) {
 	previous := r.entries
-	if outage.StoreWide() {
+	if a.Outage.StoreWide() {
 		previous = maps.Clone(previous)
 	}
 	for _, c := range changes {
 		r.applyChange(c)
+		r.release(c, a.Now)
 	}
-	r.retainVanished(previous, outage, now)
-	r.revision = max(r.revision, revision)
+	r.retainVanished(previous, a.Outage, a.Now)
+	r.position.Revision = max(r.position.Revision, a.At.Revision)
 }
 
 // retainVanished keeps the active targets whose registrations vanished during an outage
@@ -145,6 +175,9 @@
 		return
 	}
 	for key, entry := range previous {
+		if _, held := r.carried.targets[key]; held {
+			continue
+		}
 		if _, ok := r.entries[key]; !ok && entry.Target.State == document.Active {
 			r.retained[key] = retainedTarget{entry, now.Add(retentionPeriod)}
 		}
@@ -154,7 +187,9 @@
 func (r *Registry) applyChange(c Change) {
 	switch {
 	case c.Configuration != nil:
-		r.configuration = c.Configuration
+		if r.configuration == nil || c.Configuration.Version >= r.configuration.Version {
+			r.configuration = c.Configuration
+		}
 	case c.Domain != "":
 		if c.DomainOut {
 			r.domainsOut[c.Domain] = true
@@ -169,34 +204,8 @@
 	}
 }
 
-// NextExpiry returns when the next retained registration expires; ok is false when
-// there is none.
-func (r *Registry) NextExpiry() (at time.Time, ok bool) {
-	for _, t := range r.retained {
-		if !ok || t.until.Before(at) {
-			at, ok = t.until, true
-		}
-	}
-	return at, ok
-}
-
-// Expire drops the retained registrations whose retention period has ended.
-func (r *Registry) Expire(now time.Time) {
-	for key, t := range r.retained {
-		if !now.Before(t.until) {
-			delete(r.retained, key)
-		}
-	}
-}
-
-// ticket returns the ticket of the documents. Each revision has two tickets; the lower
-// one is used while registrations are retained.
-func (r *Registry) ticket() uint64 {
-	if len(r.retained) > 0 {
-		return 2 * r.revision
-	}
-	return 2*r.revision + 1
-}
+// ticket returns the ticket of the documents.
+func (r *Registry) ticket() uint64 { return r.position.ticket(r.provisional()) }
 
 // documentTicket is the ticket of each document: a reader does not know at which
 // revision a document last changed, and all readers must build the same index.
@@ -204,20 +213,21 @@
 
 // Build returns the documents and their index. Both are nil before the first
 // configuration. The index keeps its ticket while no document changes, unless another
-// reader's documents have been applied since: applied is the index applied on this VM,
-// nil for none.
-func (r *Registry) Build(applied *document.Index) (*document.Index, document.Content, error) {
-	if r.configuration == nil {
+// reader's documents have been applied since.
+func (r *Registry) Build(known Known, now time.Time) (*document.Index, document.Content, error) {
+	configuration := r.newestConfiguration(known.Applied)
+	if configuration == nil {
 		return nil, nil, nil
 	}
-	content, err := r.documents()
+	content, err := r.documents(configuration)
 	if err != nil {
 		return nil, nil, err
 	}
-	if r.index != nil && sameContent(content, r.content) && !r.superseded(applied) {
+	unchanged := r.index != nil && r.index.ConfigVersion == configuration.Version && sameContent(content, r.content)
+	if unchanged && !r.mustReissue(known, now) {
 		return r.index, r.content, nil
 	}
-	next := &document.Index{Ticket: r.ticket()}
+	next := &document.Index{Ticket: r.ticket(), ConfigVersion: configuration.Version}
 	if r.index != nil && next.Ticket <= r.index.Ticket {
 		return r.index, r.content, nil
 	}
@@ -229,17 +239,6 @@
 	return r.index, r.content, nil
 }
 
-// superseded reports whether the applied documents were read before this registry's
-// revision and differ from its own, which have a lower ticket. The index is left as it
-// is while targets are retained, because other readers may know that these targets have
-// deregistered.
-func (r *Registry) superseded(applied *document.Index) bool {
-	if applied == nil || len(r.retained) > 0 || applied.Ticket <= r.index.Ticket || applied.Ticket >= r.ticket() {
-		return false
-	}
-	return !slices.Equal(applied.Documents, r.index.Documents)
-}
-
 func sameContent(a, b document.Content) bool {
 	if len(a) != len(b) {
 		return false
@@ -252,14 +251,14 @@
 	return true
 }
 
-// documents builds the documents from the registry's content.
-func (r *Registry) documents() (document.Content, error) {
+// documents builds the documents from a configuration and the registry's content.
+func (r *Registry) documents(c *Configuration) (document.Content, error) {
 	content := document.Content{}
 	domains := map[string]bool{}
 	for _, d := range r.domains {
 		domains[d] = true
 	}
-	for _, service := range r.configuration.Services {
+	for _, service := range c.Services {
 		service.Targets = r.targets(service.Name)
 		for _, t := range service.Targets {
 			domains[t.FailureDomain] = true
@@ -270,20 +269,26 @@
 		}
 		content["services/"+service.Name] = raw
 	}
-	if err := r.addWorkspacesAndRoutes(content); err != nil {
+	if err := c.addWorkspacesAndRoutes(content); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return content, r.addDomains(content, domains)
 }
 
-// targets returns the registered and the retained targets of a service, sorted by ID.
+// targets returns the registered, the carried and the retained targets of a service,
+// sorted by ID.
 func (r *Registry) targets(service string) []document.Target {
 	out := []document.Target{}
-	for _, e := range r.entries {
-		if e.Service == service {
+	for key, e := range r.entries {
+		if _, replaced := r.carried.targets[key]; !replaced && e.Service == service {
 			out = append(out, e.Target)
 		}
 	}
+	for _, t := range r.carried.targets {
+		if t.registration != nil && t.registration.Service == service {
+			out = append(out, t.registration.Target)
+		}
+	}
 	for _, t := range r.retained {
 		if t.registration.Service == service {
 			out = append(out, t.registration.Target)
@@ -293,12 +298,21 @@
 	return out
 }
 
-func (r *Registry) addWorkspacesAndRoutes(content document.Content) error {
-	workspaces, err := document.SplitWorkspaces("workspaces/all", r.configuration.Workspaces, document.MaxValueBytes)
+// isOperatorDocument reports whether a document holds workspaces or routes.
+func isOperatorDocument(name string) bool {
+	return strings.HasPrefix(name, "workspaces/") || strings.HasPrefix(name, "routes/")
+}
+
+func (c *Configuration) addWorkspacesAndRoutes(content document.Content) error {
+	if c.documents != nil {
+		maps.Copy(content, c.documents)
+		return nil
+	}
+	workspaces, err := document.SplitWorkspaces("workspaces/all", c.Workspaces, document.MaxValueBytes)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	routes, err := document.SplitRoutes("routes/all", r.configuration.Routes, document.MaxValueBytes)
+	routes, err := document.SplitRoutes("routes/all", c.Routes, document.MaxValueBytes)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -312,12 +326,13 @@
 
 func (r *Registry) addDomains(content document.Content, names map[string]bool) error {
 	doc := document.Domains{Kind: "domains", Domains: []document.FailureDomain{}}
-	for name := range r.domainsOut {
+	out := r.outDomains()
+	for name := range out {
 		names[name] = true
 	}
 	for name := range names {
 		state := document.DomainIn
-		if r.domainsOut[name] {
+		if out[name] {
 			state = document.DomainOut
 		}
 		doc.Domains = append(doc.Domains, document.FailureDomain{Name: name, State: state})
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -11,7 +11,7 @@
 )
 
 func target(id string, state document.TargetState) Change {
-	return Change{Key: "k/" + id, Registration: &Registration{
+	return Change{Key: id, Registration: &Registration{
 		Service: "citas",
 		Target:  document.Target{ID: id, Address: "10.0.0.1:80", FailureDomain: "a", Slots: 3, State: state},
 	}}
@@ -20,6 +20,11 @@
 // storeOutage is an outage of the store itself.
 var storeOutage = Outage{Own: 5 * time.Second, Fleet: 5 * time.Second, PeerReports: true}
 
+// answer returns an answer of a store that never returned from an older copy.
+func answer(revision uint64, outage Outage, now time.Time) Answer {
+	return Answer{At: Position{Revision: revision}, Outage: outage, Now: now}
+}
+
 func configuration() Change {
 	service := document.Service{Kind: "service", Name: "citas", ColdSlots: 1, ConnectionsPerTarget: 10}
 	return Change{Configuration: &Configuration{
@@ -31,7 +36,7 @@
 
 // snapshot builds the configuration and fails the test when it is invalid.
 func snapshot(t *rapid.T, r *Registry) *document.Snapshot {
-	index, content, err := r.Build(nil)
+	index, content, err := r.Build(Known{}, time.Time{})
 	if err != nil || index == nil {
 		t.Fatalf("got no documents (error: %v), want a valid configuration", err)
 	}
@@ -49,7 +54,7 @@
 		now := time.Unix(1000, 0)
 		incremental, reset := New([]string{"a"}), New([]string{"a"})
 		newest := map[string]Change{}
-		incremental.Reset([]Change{configuration()}, 1, Outage{}, now)
+		incremental.Reset([]Change{configuration()}, answer(1, Outage{}, now))
 		snapshot(t, incremental)
 		n := rapid.IntRange(1, 20).Draw(t, "changes")
 		for i := range n {
@@ -59,7 +64,7 @@
 				c.Registration = nil
 			}
 			newest[id] = c
-			incremental.Apply([]Change{c}, uint64(i+2), Outage{}, now)
+			incremental.Apply([]Change{c}, answer(uint64(i+2), Outage{}, now))
 			snapshot(t, incremental)
 		}
 		all := []Change{configuration()}
@@ -68,7 +73,7 @@
 				all = append(all, c)
 			}
 		}
-		reset.Reset(all, uint64(n+1), Outage{}, now)
+		reset.Reset(all, answer(uint64(n+1), Outage{}, now))
 		a, b := snapshot(t, incremental), snapshot(t, reset)
 		if fmt.Sprint(a.Index.Documents) != fmt.Sprint(b.Index.Documents) {
 			t.Fatalf("documents after single changes %v differ from those after a full read %v", a.Index.Documents, b.Index.Documents)
@@ -81,8 +86,8 @@
 func TestVanishedTargetIsRetained(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := New([]string{"a"})
-	r.Reset([]Change{configuration(), target("1", document.Active), target("2", document.Draining)}, 5, Outage{}, now)
-	r.Apply([]Change{{Key: "k/1"}, {Key: "k/2"}}, 7, storeOutage, now)
+	r.Reset([]Change{configuration(), target("1", document.Active), target("2", document.Draining)}, answer(5, Outage{}, now))
+	r.Apply([]Change{{Key: "1"}, {Key: "2"}}, answer(7, storeOutage, now))
 	if got := r.targets("citas"); len(got) != 1 || got[0].ID != "1" {
 		t.Fatalf("got targets %v after the store's return, want only target 1", got)
 	}
@@ -90,14 +95,14 @@
 	if !ok || !at.Equal(now.Add(retentionPeriod)) {
 		t.Fatalf("got expiry %v (exists: %t), want the end of the retention period", at, ok)
 	}
-	retained, _, _ := r.Build(nil)
+	retained, _, _ := r.Build(Known{}, time.Time{})
 	r.Expire(now.Add(retentionPeriod))
-	expired, _, _ := r.Build(nil)
+	expired, _, _ := r.Build(Known{}, time.Time{})
 	if len(r.targets("citas")) != 0 || expired.Ticket <= retained.Ticket {
 		t.Fatalf("got targets %v and ticket %d after ticket %d, want none and a higher ticket", r.targets("citas"), expired.Ticket, retained.Ticket)
 	}
-	r.Apply([]Change{target("1", document.Active)}, 8, Outage{}, now)
-	r.Apply([]Change{{Key: "k/1"}}, 9, Outage{}, now)
+	r.Apply([]Change{target("1", document.Active)}, answer(8, Outage{}, now))
+	r.Apply([]Change{{Key: "1"}}, answer(9, Outage{}, now))
 	if len(r.targets("citas")) != 0 {
 		t.Fatal("a target that deregistered while the store answered is still listed")
 	}
@@ -122,11 +127,11 @@
 		for _, fullRead := range []bool{false, true} {
 			r := New([]string{"a"})
 			stay := target("2", document.Active)
-			r.Reset([]Change{configuration(), target("1", document.Active), stay}, 5, Outage{}, now)
+			r.Reset([]Change{configuration(), target("1", document.Active), stay}, answer(5, Outage{}, now))
 			if fullRead {
-				r.Reset([]Change{configuration(), stay}, 7, outage, now)
+				r.Reset([]Change{configuration(), stay}, answer(7, outage, now))
 			} else {
-				r.Apply([]Change{{Key: "k/1"}}, 7, outage, now)
+				r.Apply([]Change{{Key: "1"}}, answer(7, outage, now))
 			}
 			if got := r.targets("citas"); len(got) != 1 {
 				t.Errorf("%s, full read %t: got %d targets, want the one that stayed registered", name, fullRead, len(got))
@@ -145,6 +150,12 @@
 		present := map[string]bool{}
 		revision := uint64(1)
 		var applied *document.Index
+		known := func() Known {
+			if applied == nil {
+				return Known{}
+			}
+			return Known{Applied: &document.Snapshot{Index: applied}}
+		}
 		read := func(r *Registry) {
 			all := []Change{configuration()}
 			for id, ok := range present {
@@ -152,8 +163,8 @@
 					all = append(all, target(id, document.Active))
 				}
 			}
-			r.Reset(all, revision, Outage{}, now)
-			index, _, err := r.Build(applied)
+			r.Reset(all, answer(revision, Outage{}, now))
+			index, _, err := r.Build(known(), now)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -228,7 +228,7 @@
 func (d *Daemon) source() platform.Source {
 	var source platform.Source = platform.NewHTTP(d.settings.PlatformURL, d.settings.ID, nil)
 	if d.adapter != nil {
-		source = mirror.New(d.adapter.StoreClient, d.adapter.Domains, func() *document.Index { return d.reader.Index() }, d.storeOutage, d.logger)
+		source = mirror.New(d.adapter.StoreClient, d.adapter.Domains, d.fleetKnown(), d.logger)
 	}
 	if d.partition == nil {
 		return source
@@ -269,6 +269,7 @@
 // domain.
 func (d *Daemon) onTicket(s *document.Snapshot, fromPlatform bool) {
 	d.recorder.SetTicket(s.Ticket())
+	d.storeEpochs.observe(s.Ticket())
 	if fromPlatform || !d.selfManagedMembership() {
 		d.cell.Announce()
 		return
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -77,6 +77,7 @@
 	limiter         *rate.Limiter
 	pool            *pool.Pool
 	requestMetrics  *requestMetrics
+	storeEpochs     *storeEpochs // nil without an adapter
 	handler         *command.Handler
 	callerServer    *command.Server
 	peerServer      *peer.Server
@@ -112,6 +113,7 @@
 		Scope:       d.metrics.Scope,
 		OnViolation: onViolation(s, o),
 	})
+	d.storeEpochs = newStoreEpochs(o.Adapter, d.recorder, d.metrics.Scope)
 	d.system = duty.NewSystem(slog.New(logr.ToSlogHandler(o.Logger)), d.recorder)
 	d.udp, err = peer.NewUDP(peer.UDPConfig{
 		ID:        s.ID,
--- /dev/null
+++ b/node/mirror/epoch_test.go
@@ -0,0 +1,223 @@
+package mirror
+
+import (
+	"testing"
+	"time"
+
+	"github.com/galenasail/galenasail/core/document"
+	"github.com/galenasail/galenasail/core/registry"
+)
+
+// copyAge is the age of the copy that the store returns from.
+const copyAge = 5 * time.Second
+
+// seeds returns the number of seeds of each test.
+func seeds() uint64 {
+	if testing.Short() {
+		return 3
+	}
+	return 20
+}
+
+// afterCopy changes everything that a return must not revert: a target leaves, one
+// drains, one is new, a domain goes out, and a new configuration withdraws a key.
+func (f *fleet) afterCopy() copied {
+	c := f.store.copy()
+	f.leave("t1")
+	f.targets["t2"] = document.Draining
+	f.targets["t9"] = document.Active
+	f.setDomain("b", true)
+	f.configure(6, "key-6")
+	f.advance(copyAge)
+	f.converged("before the return")
+	return c
+}
+
+// checkNothingReverts fails the test at each VM that loses what was known before the
+// return. Afterwards the operator repeats its writes.
+func (f *fleet) checkNothingReverts() {
+	f.check = func(v *vm, s *document.Snapshot) {
+		f.t.Helper()
+		targets := states(s)
+		_, returned := targets["t1"]
+		if returned || targets["t2"] != document.Draining || len(targets) != len(f.targets) {
+			f.t.Errorf("%v: %s has targets %v, want %v", f.now.Unix(), v.id, targets, f.targets)
+		}
+		_, withdrawn := s.WorkspaceByKey("key-5")
+		if !s.DomainIsOut("b") || withdrawn || s.ConfigVersion() != 6 {
+			f.t.Errorf("%v: %s has version %d and domains %v; key of version 5 accepted: %t", f.now.Unix(), v.id, s.ConfigVersion(), s.Domains, withdrawn)
+		}
+		if f.t.Failed() {
+			f.t.FailNow()
+		}
+	}
+}
+
+// repeatWrites lets the operator repeat its writes.
+func (f *fleet) repeatWrites() {
+	f.configure(6, "key-6")
+	f.setDomain("b", true)
+}
+
+// Guards against a fleet that reverts, or follows the store no longer, after the store
+// returned from an older copy while only half of the VMs reach it.
+func TestReturnWhileHalfOfTheFleetReachesTheStore(t *testing.T) {
+	for seed := range seeds() {
+		f := newFleet(t, seed, 8)
+		c := f.afterCopy()
+		for i, v := range f.vms {
+			v.cutOff = i%2 == 0
+		}
+		f.checkNothingReverts()
+		f.restore(c)
+		f.advance(applyBound + backAfter)
+		f.repeatWrites()
+		f.advance(12 * time.Second)
+		f.converged("12 s after the return")
+		f.targets["t9"] = document.Draining
+		f.write("t9")
+		f.advance(applyBound)
+		f.converged("after a change in the new epoch")
+	}
+}
+
+// Guards against a reader that does not see the return and whose configuration replaces
+// that of the new epoch, also where its revision is the same or higher.
+func TestReaderThatRelaysTheOldEpoch(t *testing.T) {
+	for seed := range seeds() {
+		f := newFleet(t, seed, 6)
+		c := f.afterCopy()
+		f.checkNothingReverts()
+		old := *f.store
+		for _, v := range f.vms[:2] {
+			v.frozen = &old
+		}
+		f.restore(c)
+		f.advance(time.Second)
+		old.put("domain/a", registry.Change{Domain: "a", DomainOut: true})
+		f.advance(3 * time.Second)
+		for _, v := range f.vms {
+			if s := v.machine.Snapshot(); s.DomainIsOut("a") || registry.EpochOf(s.Ticket()) != 1 {
+				t.Fatalf("seed %d: %s has ticket %d with a change of the old epoch, want epoch 1", seed, v.id, s.Ticket())
+			}
+		}
+		for _, v := range f.vms {
+			v.frozen = nil
+		}
+		f.repeatWrites()
+		f.advance(12 * time.Second)
+		f.converged("12 s after the return")
+	}
+}
+
+// Guards against a VM that restarts right after the return and publishes the content of
+// the copy, because it does not know what the fleet knew.
+func TestRestartAfterTheReturn(t *testing.T) {
+	for seed := range seeds() {
+		f := newFleet(t, seed, 6)
+		c := f.afterCopy()
+		f.checkNothingReverts()
+		f.restore(c)
+		for _, v := range f.vms[:5] {
+			f.advance(time.Duration(f.rand.IntN(20)) * step)
+			f.start(v)
+		}
+		f.advance(backAfter)
+		f.repeatWrites()
+		f.advance(12 * time.Second)
+		f.converged("12 s after the return")
+	}
+}
+
+// Guards against a second return that brings back what the first one did not.
+func TestTwoReturnsWithinTenSeconds(t *testing.T) {
+	for seed := range seeds() {
+		f := newFleet(t, seed, 6)
+		c := f.afterCopy()
+		f.checkNothingReverts()
+		f.restore(c)
+		f.advance(time.Duration(f.rand.IntN(160)) * step)
+		f.restore(c)
+		f.advance(backAfter)
+		f.repeatWrites()
+		f.advance(14 * time.Second)
+		f.converged("14 s after the second return")
+	}
+}
+
+// Guards against a reader that first sees the new epoch in a peer's ticket and then
+// applies an answer of the former one, or carries less than the peer.
+func TestEpochSeenFirstThroughAPeer(t *testing.T) {
+	for seed := range seeds() {
+		f := newFleet(t, seed, 6)
+		c := f.afterCopy()
+		f.checkNothingReverts()
+		for _, v := range f.vms[1:] {
+			v.cutOff = true
+		}
+		f.restore(c)
+		f.advance(3 * time.Second)
+		for _, v := range f.vms {
+			if epoch := registry.EpochOf(v.machine.Snapshot().Ticket()); epoch != 1 {
+				t.Fatalf("seed %d: %s is in epoch %d 3 s after the return, want 1", seed, v.id, epoch)
+			}
+			v.cutOff = v == f.vms[0]
+		}
+		f.repeatWrites()
+		f.advance(14 * time.Second)
+		f.converged("14 s after the return")
+	}
+}
+
+// Guards against a VM that started alone in the new epoch, has the copy's configuration
+// under a higher ticket and keeps it, or imposes it on the fleet.
+func TestVMThatStartsAloneTakesTheFleetsConfiguration(t *testing.T) {
+	for seed := range seeds() {
+		f := newFleet(t, seed, 6)
+		c := f.afterCopy()
+		lone := f.vms[f.rand.IntN(len(f.vms))]
+		lone.isolated = true
+		f.restore(c)
+		f.start(lone)
+		f.advance(12 * time.Second)
+		if version := lone.machine.Snapshot().ConfigVersion(); version != 5 {
+			t.Fatalf("seed %d: got version %d on the VM alone, want 5 of the copy", seed, version)
+		}
+		f.check = func(v *vm, s *document.Snapshot) {
+			if v != lone && s.ConfigVersion() != 6 {
+				t.Fatalf("seed %d: %s has version %d, want 6", seed, v.id, s.ConfigVersion())
+			}
+		}
+		lone.isolated = false
+		f.advance(2 * applyBound)
+		f.converged("5 s after the VM met the fleet")
+		if version := lone.machine.Snapshot().ConfigVersion(); version != 6 {
+			t.Fatalf("seed %d: got version %d on the VM that started alone, want 6", seed, version)
+		}
+	}
+}
+
+// Guards against tickets of one revision that are the same before and after the return
+// although the contents differ, and against a change of the new epoch that is late.
+func TestTwoContentsUnderOneRevision(t *testing.T) {
+	for seed := range seeds() {
+		f := newFleet(t, seed, 6)
+		c := f.store.copy()
+		f.targets["t9"] = document.Active
+		f.write("t9")
+		f.advance(applyBound)
+		f.restore(c)
+		f.advance(time.Second) // a write before the first read looks like part of the copy
+		delete(f.targets, "t9")
+		f.targets["t8"] = document.Active
+		f.write("t8")
+		f.advance(applyBound)
+		for _, v := range f.vms {
+			if _, ok := states(v.machine.Snapshot())["t8"]; !ok {
+				t.Fatalf("seed %d: %s lacks the target that registered in the new epoch %v ago", seed, v.id, applyBound)
+			}
+		}
+		f.advance(12 * time.Second)
+		f.converged("after the retention period")
+	}
+}
--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
 
 	"github.com/galenasail/galenasail/core/config"
 	"github.com/galenasail/galenasail/core/document"
@@ -22,16 +23,34 @@
 // given revision.
 var ErrCompacted = errors.New("the store has compacted the changes after the requested revision")
 
+// errAwaitingPeers is returned by a read that must not be used before this VM has asked
+// its peers for their configuration.
+var errAwaitingPeers = errors.New("the peers have not been asked for their configuration yet")
+
 // StoreClient reads the store. Its calls return an error when the store did not answer
 // or refused the request.
 type StoreClient interface {
-	// Read returns the full content and a revision at or before the one that the
-	// content has.
-	Read(ctx context.Context) (all []registry.Change, revision uint64, err error)
+	// Read returns the full content of one epoch and a position at or before the one
+	// that the content has.
+	Read(ctx context.Context) (all []registry.Change, at registry.Position, err error)
 	// Watch returns the changes after a revision, or none when none came within wait,
-	// and the revision that they lead to. It returns ErrCompacted when the store no
-	// longer has these changes.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []registry.Change, revision uint64, err error)
+	// and the position that they lead to; the changes are of no use when its epoch is not
+	// that of the revision. It returns ErrCompacted when the store no longer has these
+	// changes.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []registry.Change, at registry.Position, err error)
+}
+
+// Fleet is what this VM knows of the fleet. The functions must not block. All are
+// required.
+type Fleet struct {
+	// Known returns the configuration applied on this VM.
+	Known func() registry.Known
+	// PeersAsked reports whether this VM has asked its peers for the configuration that
+	// they have, or has one.
+	PeersAsked func() bool
+	// Silence returns how long the store has answered no VM as far as this VM knows, and
+	// whether it receives reports from another VM that would report such responses.
+	Silence func() (silence time.Duration, peerReports bool)
 }
 
 const (
@@ -39,14 +58,17 @@
 	// fullReadInterval is the interval of reads of the full content, as a safeguard
 	// against a watch that misses changes.
 	fullReadInterval = 8 * time.Second
+	// peersPollInterval is the interval at which a read that waits for the peers checks
+	// whether they have been asked.
+	peersPollInterval = 20 * time.Millisecond
 )
 
 // Mirror is a platform.Source backed by a StoreClient. It is safe for concurrent use.
 type Mirror struct {
-	store        StoreClient
-	applied      func() *document.Index
-	fleetSilence func() (silence time.Duration, peerReports bool)
-	logger       logr.Logger
+	store  StoreClient
+	fleet  Fleet
+	logger logr.Logger
+	now    func() time.Time
 
 	mu       sync.Mutex
 	registry *registry.Registry
@@ -61,12 +83,9 @@
 }
 
 // New returns a mirror. Domains lists the failure domains that exist even without
-// targets. Applied returns the index applied on this VM, whether from this mirror or
-// from a peer; nil before the first one. FleetSilence returns how long the store has
-// answered no VM as far as this VM knows, and whether it receives reports from another
-// VM that would report such responses. Neither function may block.
-func New(store StoreClient, domains []string, applied func() *document.Index, fleetSilence func() (silence time.Duration, peerReports bool), logger logr.Logger) *Mirror {
-	return &Mirror{store: store, applied: applied, fleetSilence: fleetSilence, logger: logger, registry: registry.New(domains)}
+// targets.
+func New(store StoreClient, domains []string, fleet Fleet, logger logr.Logger) *Mirror {
+	return &Mirror{store: store, fleet: fleet, logger: logger, now: time.Now, registry: registry.New(domains)}
 }
 
 // Read returns the index with its documents. Every other key is missing.
@@ -74,7 +93,11 @@
 	if key != indexKey {
 		return config.Value{Status: config.Missing}
 	}
-	if err := m.refresh(ctx); err != nil {
+	err := m.refresh(ctx)
+	if errors.Is(err, errAwaitingPeers) {
+		return config.Value{Status: config.Failed}
+	}
+	if err != nil {
 		return m.failed(err)
 	}
 	return m.value(0)
@@ -87,22 +110,22 @@
 		return config.Value{Status: config.Failed}
 	}
 	m.mu.Lock()
-	revision, due := m.registry.Revision(), time.Since(m.read) >= fullReadInterval
+	position, due := m.registry.Position(), m.now().Sub(m.read) >= fullReadInterval
 	if at, ok := m.registry.NextExpiry(); ok {
-		wait = min(wait, max(time.Millisecond, time.Until(at)))
+		wait = min(wait, max(time.Millisecond, at.Sub(m.now())))
 	}
 	m.mu.Unlock()
-	if revision == 0 || due {
+	if position.Revision == 0 || due {
 		return m.Read(ctx, key)
 	}
-	changes, next, err := m.store.Watch(ctx, revision, wait)
-	if errors.Is(err, ErrCompacted) {
+	changes, next, err := m.store.Watch(ctx, position.Revision, wait)
+	if errors.Is(err, ErrCompacted) || (err == nil && next.Epoch != position.Epoch) {
 		return m.Read(ctx, key)
 	}
 	if err != nil {
 		return m.failed(err)
 	}
-	if err := m.apply(func(now time.Time, outage registry.Outage) { m.registry.Apply(changes, next, outage, now) }); err != nil {
+	if err := m.apply(next, func(a registry.Answer) { m.registry.Apply(changes, a) }); err != nil {
 		return m.failed(err)
 	}
 	return m.value(after)
@@ -110,32 +133,65 @@
 
 // refresh reads the full content of the store.
 func (m *Mirror) refresh(ctx context.Context) error {
-	all, revision, err := m.store.Read(ctx)
+	all, at, err := m.store.Read(ctx)
 	if err != nil {
 		return err
 	}
-	return m.apply(func(now time.Time, outage registry.Outage) {
-		if revision >= m.registry.Revision() {
-			m.registry.Reset(all, revision, outage, now)
+	if at.Epoch > 0 {
+		if err := m.awaitPeers(ctx); err != nil {
+			return err
+		}
+	}
+	return m.apply(at, func(a registry.Answer) {
+		if !at.Before(m.registry.Position()) {
+			m.reset(all, a)
 		}
-		m.read = now
+		m.read = a.Now
 	})
 }
 
-// apply applies a change to the registry and rebuilds the documents.
-func (m *Mirror) apply(change func(now time.Time, outage registry.Outage)) error {
+// awaitPeers waits until this VM has asked its peers for their configuration: the store
+// may have returned from an older copy, and the peers know what it has lost.
+func (m *Mirror) awaitPeers(ctx context.Context) error {
+	for !m.fleet.PeersAsked() {
+		select {
+		case <-ctx.Done():
+			return errAwaitingPeers
+		case <-time.After(peersPollInterval):
+		}
+	}
+	return nil
+}
+
+// reset replaces the content of the registry and logs a change of the store epoch. The
+// caller holds mu.
+func (m *Mirror) reset(all []registry.Change, a registry.Answer) {
+	old := m.registry.Position()
+	m.registry.Reset(all, a)
+	if a.At.Epoch != old.Epoch {
+		m.logger.Info("the store has a new epoch", "epoch", a.At.Epoch, "revision", a.At.Revision,
+			"formerEpoch", old.Epoch, "formerRevision", old.Revision, "appliedTicket", a.Known.Applied.Ticket())
+	}
+}
+
+// apply applies an answer of the store to the registry and rebuilds the documents. An
+// answer of an epoch lower than one already known is an error.
+func (m *Mirror) apply(at registry.Position, change func(registry.Answer)) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
-	outage := registry.Outage{}
+	a := registry.Answer{At: at, Known: m.fleet.Known(), Now: m.now()}
+	known := max(m.registry.Position().Epoch, registry.EpochOf(a.Known.Applied.Ticket()))
+	if at.Epoch < known {
+		return trace.CompareFailed("the answer has store epoch %d, lower than epoch %d, which is known", at.Epoch, known)
+	}
 	if m.failing {
-		outage.Own = now.Sub(m.answered)
-		outage.Fleet, outage.PeerReports = m.fleetSilence()
+		a.Outage.Own = a.Now.Sub(m.answered)
+		a.Outage.Fleet, a.Outage.PeerReports = m.fleet.Silence()
 	}
-	change(now, outage)
-	m.failing, m.answered = false, now
-	m.registry.Expire(now)
-	index, content, err := m.registry.Build(m.applied())
+	change(a)
+	m.failing, m.answered = false, a.Now
+	m.registry.Expire(a.Now)
+	index, content, err := m.registry.Build(a.Known, a.Now)
 	if err != nil || index == nil || index.Ticket == m.ticket {
 		return err
 	}
--- a/node/platform/publish.go
+++ b/node/platform/publish.go
@@ -29,6 +29,7 @@
 	}
 	next.ownResponse, next.response = r.machine.LastOwnResponse(), r.machine.LastResponse()
 	next.upToDateByOwnReads, next.upToDateAsOf = r.machine.UpToDateByOwnReads(), r.machine.UpToDateAsOf()
+	next.contestedTicket, next.peersAsked = r.machine.ContestedTicket(), r.machine.PeersAsked(r.now())
 	next.isReader = r.machine.Role() == config.Watcher
 	old := r.state.Swap(&next)
 	if next.ownResponse.After(old.ownResponse) {
@@ -40,13 +41,19 @@
 }
 
 // applySnapshot puts s into next. It reports a violation of the invariant that the
-// configuration never reverts, and keeps the newer configuration then.
+// configuration never reverts, by its ticket or by its version, and keeps the newer
+// configuration then.
 func (r *Reader) applySnapshot(next *state, s *document.Snapshot) {
 	if next.snapshot != nil && s.Ticket() <= next.snapshot.Ticket() {
 		r.config.Events.Violated(invariant.Config, "ticket",
 			fmt.Sprintf("ticket %d would replace ticket %d", s.Ticket(), next.snapshot.Ticket()))
 		return
 	}
+	if s.ConfigVersion() < next.snapshot.ConfigVersion() {
+		r.config.Events.Violated(invariant.Config, "version",
+			fmt.Sprintf("configuration version %d of ticket %d would replace version %d", s.ConfigVersion(), s.Ticket(), next.snapshot.ConfigVersion()))
+		return
+	}
 	next.snapshot = s
 	next.indexRaw, _ = r.machine.RawIndexAndList()
 }
--- a/node/platform/reader.go
+++ b/node/platform/reader.go
@@ -91,6 +91,9 @@
 	// upToDateAsOf is the same by the reads of this VM or of peers.
 	upToDateAsOf time.Time
 	ready        bool
+	// contestedTicket and peersAsked are the machine's values of these names.
+	contestedTicket uint64
+	peersAsked      bool
 	// isReader is true for a VM that reads the platform for others.
 	isReader bool
 }
@@ -191,13 +194,22 @@
 	return nil
 }
 
-// Index returns the index of the configuration in effect, even before the VM is ready;
-// nil before the first configuration.
-func (r *Reader) Index() *document.Index {
-	if s := r.state.Load(); s.snapshot != nil {
-		return s.snapshot.Index
-	}
-	return nil
+// Applied returns the configuration in effect, even before the VM is ready; nil before
+// the first one.
+func (r *Reader) Applied() *document.Snapshot {
+	return r.state.Load().snapshot
+}
+
+// ContestedTicket returns the highest ticket that is in use with a content that this VM
+// does not apply; 0 for none.
+func (r *Reader) ContestedTicket() uint64 {
+	return r.state.Load().contestedTicket
+}
+
+// PeersAsked reports whether this VM has a configuration, or has asked its peers for the
+// one that they have.
+func (r *Reader) PeersAsked() bool {
+	return r.state.Load().peersAsked
 }
 
 // List returns the VM list in effect; nil before the first one.
