Refuse what was built without knowledge of the fleet

Cause: a VM that starts alone in a new store epoch, or was cut off since before it, has the copy's content or old knowledge under a ticket that may be higher than the fleet's. Change: a starting VM asks its peers first, for at most 2 s; a reader waits for a peer's configuration of the epoch; otherwise its index is marked unverified, which VMs that know more do not take from a peer, and readers give their documents a ticket above it.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -405,8 +405,23 @@
 // before the first ones.
 func (m *Machine) RawIndexAndList() (index, list []byte) { return m.indexRaw, m.listRaw }
 
+// NewestTicket returns the highest ticket that is applied here or reported by a peer; 0
+// for none.
+func (m *Machine) NewestTicket() uint64 { return max(m.highestTicket, m.snapshot.Ticket()) }
+
+// HearsPeers reports whether this VM has no peers or has recently received the report of
+// one.
+func (m *Machine) HearsPeers(now time.Time) bool {
+	for _, r := range m.reports {
+		if now.Sub(r.receivedAt) < PlatformSilenceTimeout {
+			return true
+		}
+	}
+	return m.list != nil && m.list.Len() <= 1
+}
+
 // ContestedTicket returns the highest ticket under which a peer or the platform has a
-// content that this VM does not apply, because its configuration version is lower or
+// content that this VM does not apply, because it would revert the one in force or
 // because another content is applied here under the same ticket; 0 for none. Only a
 // higher ticket makes the VMs agree again.
 func (m *Machine) ContestedTicket() uint64 { return m.contestedTicket }
--- a/core/config/fetch.go
+++ b/core/config/fetch.go
@@ -393,19 +393,33 @@
 	return 2*answered >= n || (now.Sub(m.start) >= StartupQueryWindow && answered+failed >= n)
 }
 
+// enoughSeeds is the number of seeds whose answers suffice for PeersAsked. A seed that
+// has just started too may answer first.
+const enoughSeeds = 2
+
 // PeersAsked reports whether this VM has learned what its peers have in force as far as
-// they can be reached: a configuration is applied, or enough peers and all seeds have
+// they can be reached: a configuration is applied, or enough peers and seeds have
 // answered without one, or StartupQueryWindow has passed.
 func (m *Machine) PeersAsked(now time.Time) bool {
 	if m.snapshot != nil || now.Sub(m.start) >= StartupQueryWindow {
 		return true
 	}
+	return m.list != nil && m.queriedEnoughSeeds() && m.queriedEnoughPeers(now) && m.highestTicketApplied(now)
+}
+
+// queriedEnoughSeeds reports whether enoughSeeds have answered, or each seed has answered
+// or a fetch from it has ended.
+func (m *Machine) queriedEnoughSeeds() bool {
+	answered, ended := 0, 0
 	for _, seed := range m.fetch.seeds {
-		if _, tried := m.fetch.lastTried[seed]; !tried {
-			return false
+		if m.fetch.answered[seed] {
+			answered++
+		}
+		if _, ok := m.fetch.lastTried[seed]; ok {
+			ended++
 		}
 	}
-	return m.list != nil && m.queriedEnoughPeers(now) && m.highestTicketApplied(now)
+	return answered >= enoughSeeds || ended == len(m.fetch.seeds)
 }
 
 // highestTicketApplied reports whether no higher ticket is being collected or reported
--- a/core/config/pending.go
+++ b/core/config/pending.go
@@ -78,16 +78,26 @@
 	}
 }
 
-// refuseLowerVersion rejects an index whose configuration version is lower than the one
-// in force. Its ticket does not count as settled: the content that comes with it is
-// still expected under a higher ticket.
-func (m *Machine) refuseLowerVersion(ix *document.Index, digest uint32, from string) {
+// refuseOutdated rejects an index with a higher ticket that would revert what is in
+// force here, and reports whether it does: its configuration version is lower, or a
+// peer built it without the knowledge that is in force here. Its ticket does not count
+// as settled: the content that comes with it is still expected under a higher ticket.
+func (m *Machine) refuseOutdated(ix *document.Index, digest uint32, peer string) bool {
+	e := &document.ValidationError{Ticket: ix.Ticket, Document: indexKey}
+	switch {
+	case ix.ConfigVersion < m.snapshot.ConfigVersion():
+		e.Field = "configVersion"
+		e.Reason = fmt.Sprintf("%s has version %d, lower than version %d, which is in force", describeSource(peer), ix.ConfigVersion, m.snapshot.ConfigVersion())
+	case ix.Unverified && peer != "" && m.snapshot != nil && !m.snapshot.Unverified():
+		e.Field = "unverified"
+		e.Reason = describeSource(peer) + " built it without knowing the configuration in force"
+	default:
+		return false
+	}
 	m.contestedTicket = max(m.contestedTicket, ix.Ticket)
 	m.refused.add(ix.Ticket, digest)
-	m.reportRefusal(&document.ValidationError{
-		Ticket: ix.Ticket, Document: indexKey, Field: "configVersion",
-		Reason: fmt.Sprintf("%s has configuration version %d, lower than version %d, which is in force", from, ix.ConfigVersion, m.snapshot.ConfigVersion()),
-	})
+	m.reportRefusal(e)
+	return true
 }
 
 // considerIndex processes an index read from the given peer, or from the platform when
@@ -111,8 +121,7 @@
 		return
 	case ix.Ticket == m.snapshot.Ticket() && digest == m.digest:
 		return
-	case ix.ConfigVersion < m.snapshot.ConfigVersion():
-		m.refuseLowerVersion(ix, digest, describeSource(peer))
+	case m.refuseOutdated(ix, digest, peer):
 		return
 	}
 	if p := m.pending; docs == nil && p != nil && ix.Ticket <= p.index.Ticket && now.Sub(p.lastProgress) < pendingTimeout {
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -40,6 +40,10 @@
 	// when there is none. It is independent of the ticket: a store that returns from an
 	// older copy has an older version under a new ticket.
 	ConfigVersion uint64 `json:"configVersion,omitempty"`
+	// Unverified is true while the documents may hold entries of an older copy of the
+	// store, because the VM that built them did not know what the fleet had in force
+	// before the store returned from that copy.
+	Unverified bool `json:"unverified,omitempty"`
 	// Documents lists all documents in effect.
 	Documents []IndexEntry `json:"documents"`
 }
--- a/core/document/snapshot.go
+++ b/core/document/snapshot.go
@@ -56,6 +56,10 @@
 	return s.Index.ConfigVersion
 }
 
+// Unverified reports whether the snapshot may hold entries of an older copy of the
+// store; false for a nil snapshot.
+func (s *Snapshot) Unverified() bool { return s != nil && s.Index.Unverified }
+
 // WorkspaceByKey returns the workspace to which a plain-text key belongs.
 func (s *Snapshot) WorkspaceByKey(key string) (*Workspace, bool) {
 	w, ok := s.byKey[KeyDigest(key)]
@@ -168,7 +172,9 @@
 func IndexDigest(ix *Index) string {
 	entries := append([]IndexEntry(nil), ix.Documents...)
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Name < entries[j].Name })
-	raw, err := json.Marshal(Index{Ticket: ix.Ticket, ConfigVersion: ix.ConfigVersion, Documents: entries})
+	sorted := *ix
+	sorted.Documents = entries
+	raw, err := json.Marshal(sorted)
 	if err != nil {
 		return ""
 	}
--- a/core/registry/carry.go
+++ b/core/registry/carry.go
@@ -33,6 +33,11 @@
 	// ContestedTicket is the highest ticket that is in use with a content that this VM
 	// does not apply; 0 for none.
 	ContestedTicket uint64
+	// NewestTicket is the highest ticket that is applied here or reported by a peer; 0
+	// for none.
+	NewestTicket uint64
+	// HearsPeers is true when reports of peers arrive, or when there are no peers.
+	HearsPeers bool
 }
 
 // index returns the applied index; nil for none.
@@ -43,6 +48,19 @@
 	return k.Applied.Index
 }
 
+// informed reports whether this VM knows what the fleet had in force when an epoch
+// began, or has the store's content of that epoch from a VM that knew it.
+func (k Known) informed(epoch uint64) bool {
+	if k.Applied == nil || k.Applied.Unverified() {
+		return false
+	}
+	applied := EpochOf(k.Applied.Ticket())
+	if applied == epoch && !isProvisional(k.Applied.Ticket()) {
+		return true
+	}
+	return k.HearsPeers && EpochOf(k.NewestTicket) <= applied
+}
+
 // carriedTarget replaces the store's entry of a target until the store reports a write
 // of it.
 type carriedTarget struct {
@@ -64,8 +82,10 @@
 	// after the return.
 	first        uint64
 	settledAfter time.Time
-	targets      map[string]carriedTarget
-	domains      map[string]carriedDomain
+	// unverified is true when this VM did not know what the fleet had in force before.
+	unverified bool
+	targets    map[string]carriedTarget
+	domains    map[string]carriedDomain
 }
 
 // beginEpoch replaces the content of the copy by what the fleet knew before the return.
@@ -74,7 +94,7 @@
 func (r *Registry) beginEpoch(a Answer) {
 	r.retained = map[string]retainedTarget{}
 	r.carried = carryState{
-		first: a.At.Revision, settledAfter: a.Now.Add(settlePeriod),
+		first: a.At.Revision, settledAfter: a.Now.Add(settlePeriod), unverified: !a.Known.informed(a.At.Epoch),
 		targets: map[string]carriedTarget{}, domains: map[string]carriedDomain{},
 	}
 	applied := a.Known.Applied
@@ -104,6 +124,18 @@
 	}
 }
 
+// overtaken reports whether a VM that did not know what the fleet had in force has
+// learned it now.
+func (r *Registry) overtaken(a Answer) bool {
+	return r.carried.unverified && a.Known.informed(r.position.Epoch) && EpochOf(a.Known.Applied.Ticket()) == r.position.Epoch
+}
+
+// unverified reports whether the documents may hold entries of an older copy that the
+// fleet knows to be outdated.
+func (r *Registry) unverified(now time.Time) bool {
+	return r.carried.unverified && now.Before(r.carried.settledAfter)
+}
+
 // release ends the use of carried knowledge that a change replaces which was written
 // after the return. A carried active target whose registration is removed is kept for
 // the retention period, because registrations lapse while targets cannot reach the
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -136,17 +136,17 @@
 // must not pass an answer with an epoch lower than that of the registry or of the
 // applied documents.
 func (r *Registry) Reset(all []Change, a Answer) {
-	entries, domainsOut := r.entries, r.domainsOut
+	entries, domainsOut, previous := r.entries, r.domainsOut, r.retainable(a.Outage)
 	r.entries = map[string]Registration{}
 	r.domainsOut = map[string]bool{}
 	for _, c := range all {
 		r.applyChange(c)
 	}
-	if a.At.Epoch > r.position.Epoch {
+	if a.At.Epoch > r.position.Epoch || r.overtaken(a) {
 		r.beginEpoch(a)
 	} else {
 		r.releaseMissing(entries, domainsOut, a)
-		r.retainVanished(entries, a.Outage, a.Now)
+		r.retainVanished(previous, a.Now)
 	}
 	for _, c := range all {
 		r.release(c, a.Now)
@@ -156,28 +156,36 @@
 
 // Apply applies the changes of the registry's epoch up to a.At.
 func (r *Registry) Apply(changes []Change, a Answer) {
-	previous := r.entries
-	if a.Outage.StoreWide() {
-		previous = maps.Clone(previous)
-	}
+	previous := r.retainable(a.Outage)
 	for _, c := range changes {
 		r.applyChange(c)
 		r.release(c, a.Now)
 	}
-	r.retainVanished(previous, a.Outage, a.Now)
+	r.retainVanished(previous, a.Now)
+	if r.overtaken(a) {
+		r.beginEpoch(a)
+	}
 	r.position.Revision = max(r.position.Revision, a.At.Revision)
 }
 
-// retainVanished keeps the active targets whose registrations vanished during an outage
-// of the store.
-func (r *Registry) retainVanished(previous map[string]Registration, outage Outage, now time.Time) {
+// retainable returns a copy of the registrations that are retained if they vanished
+// during the outage: none unless the store itself was unavailable, and none that carried
+// knowledge replaces.
+func (r *Registry) retainable(outage Outage) map[string]Registration {
 	if !outage.StoreWide() {
-		return
+		return nil
+	}
+	out := maps.Clone(r.entries)
+	for key := range r.carried.targets {
+		delete(out, key)
 	}
+	return out
+}
+
+// retainVanished keeps the active targets whose registrations vanished during an outage
+// of the store.
+func (r *Registry) retainVanished(previous map[string]Registration, now time.Time) {
 	for key, entry := range previous {
-		if _, held := r.carried.targets[key]; held {
-			continue
-		}
 		if _, ok := r.entries[key]; !ok && entry.Target.State == document.Active {
 			r.retained[key] = retainedTarget{entry, now.Add(retentionPeriod)}
 		}
@@ -223,11 +231,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	unchanged := r.index != nil && r.index.ConfigVersion == configuration.Version && sameContent(content, r.content)
-	if unchanged && !r.mustReissue(known, now) {
+	next := &document.Index{Ticket: r.ticket(), ConfigVersion: configuration.Version, Unverified: r.unverified(now)}
+	unchanged := r.index != nil && r.index.ConfigVersion == next.ConfigVersion && r.index.Unverified == next.Unverified
+	if unchanged && sameContent(content, r.content) && !r.mustReissue(known, now) {
 		return r.index, r.content, nil
 	}
-	next := &document.Index{Ticket: r.ticket(), ConfigVersion: configuration.Version}
 	if r.index != nil && next.Ticket <= r.index.Ticket {
 		return r.index, r.content, nil
 	}
--- a/core/registry/reissue.go
+++ b/core/registry/reissue.go
@@ -9,31 +9,35 @@
 
 // mustReissue reports whether unchanged documents need an index with a higher ticket.
 func (r *Registry) mustReissue(known Known, now time.Time) bool {
-	if r.superseded(known.index(), now) {
+	applied := known.index()
+	if r.superseded(applied, now) {
 		return true
 	}
 	if r.position.Epoch == 0 {
 		return false
 	}
-	outbids := known.ContestedTicket >= r.index.Ticket && known.ContestedTicket < r.ticket()
-	return outbids || EpochOf(r.index.Ticket) < r.position.Epoch || r.hasSettled(known.index())
+	announced := r.announcedTicket(applied)
+	outbids := known.ContestedTicket >= announced && known.ContestedTicket < r.ticket()
+	// A provisional ticket does not outlast its reason: a VM that becomes a reader would
+	// carry what nobody carries any more.
+	settles := isProvisional(announced) && !r.provisional()
+	return outbids || settles || EpochOf(announced) < r.position.Epoch
 }
 
-// hasSettled reports whether the index still has a provisional ticket although the
-// documents equal the store's content, and no other reader has said so: a VM that
-// becomes a reader would carry what nobody carries any more.
-func (r *Registry) hasSettled(applied *document.Index) bool {
-	if r.provisional() || !isProvisional(r.index.Ticket) {
-		return false
+// announcedTicket returns the highest ticket known here under which the documents of
+// the index are in use: that of the index, or that of the applied one.
+func (r *Registry) announcedTicket(applied *document.Index) uint64 {
+	if applied != nil && slices.Equal(applied.Documents, r.index.Documents) {
+		return max(applied.Ticket, r.index.Ticket)
 	}
-	known := applied != nil && applied.Ticket > r.index.Ticket && !isProvisional(applied.Ticket)
-	return !known || !slices.Equal(applied.Documents, r.index.Documents)
+	return r.index.Ticket
 }
 
 // superseded reports whether the applied documents were read before this registry's
 // revision and differ from its own, which have a lower ticket. Provisional documents
-// are left as they are, because other readers may know that these targets have
-// deregistered.
+// of this registry are left as they are, because other readers may know that these
+// targets have deregistered; those of other readers are left in force for some time
+// after a return of the store, because they may carry more.
 func (r *Registry) superseded(applied *document.Index, now time.Time) bool {
 	if applied == nil || applied.Ticket <= r.index.Ticket || applied.Ticket >= r.ticket() {
 		return false
@@ -41,12 +45,8 @@
 	if slices.Equal(applied.Documents, r.index.Documents) {
 		return false
 	}
-	switch {
-	case r.position.Epoch > 0 && now.Before(r.carried.settledAfter):
-		// Carried knowledge replaces the content of a reader that has none, never the
-		// reverse.
-		return !isProvisional(applied.Ticket)
-	default:
-		return !r.provisional()
+	if r.position.Epoch > 0 && now.Before(r.carried.settledAfter) && isProvisional(applied.Ticket) {
+		return false
 	}
+	return !r.provisional()
 }
--- a/node/daemon/store_epoch.go
+++ b/node/daemon/store_epoch.go
@@ -15,7 +15,12 @@
 func (d *Daemon) fleetKnown() mirror.Fleet {
 	return mirror.Fleet{
 		Known: func() registry.Known {
-			return registry.Known{Applied: d.reader.Applied(), ContestedTicket: d.reader.ContestedTicket()}
+			return registry.Known{
+				Applied:         d.reader.Applied(),
+				ContestedTicket: d.reader.ContestedTicket(),
+				NewestTicket:    d.reader.NewestTicket(),
+				HearsPeers:      d.reader.HearsPeers(),
+			}
 		},
 		PeersAsked: func() bool { return d.reader.PeersAsked() },
 		Silence:    d.storeOutage,
--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -43,7 +43,7 @@
 // Fleet is what this VM knows of the fleet. The functions must not block. All are
 // required.
 type Fleet struct {
-	// Known returns the configuration applied on this VM.
+	// Known returns what this VM knows of the configuration of the fleet.
 	Known func() registry.Known
 	// PeersAsked reports whether this VM has asked its peers for the configuration that
 	// they have, or has one.
@@ -61,6 +61,9 @@
 	// peersPollInterval is the interval at which a read that waits for the peers checks
 	// whether they have been asked.
 	peersPollInterval = 20 * time.Millisecond
+	// maxCatchUp is how long a read of a new epoch waits for the configuration of a peer
+	// that is in that epoch already. It is longer than a few failed fetches.
+	maxCatchUp = 2 * time.Second
 )
 
 // Mirror is a platform.Source backed by a StoreClient. It is safe for concurrent use.
@@ -73,6 +76,9 @@
 	mu       sync.Mutex
 	registry *registry.Registry
 	failing  bool
+	// behindSince is when a peer was first known to be in a later epoch than the applied
+	// configuration; zero when none is.
+	behindSince time.Time
 	// answered is when the store last answered; read is when its full content was last
 	// read.
 	answered time.Time
@@ -150,10 +156,10 @@
 	})
 }
 
-// awaitPeers waits until this VM has asked its peers for their configuration: the store
-// may have returned from an older copy, and the peers know what it has lost.
+// awaitPeers waits until this VM has the configuration of its peers: the store may have
+// returned from an older copy, and the peers know what it has lost.
 func (m *Mirror) awaitPeers(ctx context.Context) error {
-	for !m.fleet.PeersAsked() {
+	for !m.fleet.PeersAsked() || m.behindPeers() {
 		select {
 		case <-ctx.Done():
 			return errAwaitingPeers
@@ -163,6 +169,22 @@
 	return nil
 }
 
+// behindPeers reports whether a peer is known to be in a later epoch than the
+// configuration applied here, for at most maxCatchUp.
+func (m *Mirror) behindPeers() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, now := m.fleet.Known(), m.now()
+	if registry.EpochOf(known.NewestTicket) <= registry.EpochOf(known.Applied.Ticket()) {
+		m.behindSince = time.Time{}
+		return false
+	}
+	if m.behindSince.IsZero() {
+		m.behindSince = now
+	}
+	return now.Sub(m.behindSince) < maxCatchUp
+}
+
 // reset replaces the content of the registry and logs a change of the store epoch. The
 // caller holds mu.
 func (m *Mirror) reset(all []registry.Change, a registry.Answer) {
@@ -180,7 +202,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	a := registry.Answer{At: at, Known: m.fleet.Known(), Now: m.now()}
-	known := max(m.registry.Position().Epoch, registry.EpochOf(a.Known.Applied.Ticket()))
+	known := max(m.registry.Position().Epoch, registry.EpochOf(a.Known.NewestTicket))
 	if at.Epoch < known {
 		return trace.CompareFailed("the answer has store epoch %d, lower than epoch %d, which is known", at.Epoch, known)
 	}
--- a/node/platform/publish.go
+++ b/node/platform/publish.go
@@ -29,7 +29,9 @@
 	}
 	next.ownResponse, next.response = r.machine.LastOwnResponse(), r.machine.LastResponse()
 	next.upToDateByOwnReads, next.upToDateAsOf = r.machine.UpToDateByOwnReads(), r.machine.UpToDateAsOf()
-	next.contestedTicket, next.peersAsked = r.machine.ContestedTicket(), r.machine.PeersAsked(r.now())
+	next.contestedTicket, next.newestTicket = r.machine.ContestedTicket(), r.machine.NewestTicket()
+	now := r.now()
+	next.peersAsked, next.hearsPeers = r.machine.PeersAsked(now), r.machine.HearsPeers(now)
 	next.isReader = r.machine.Role() == config.Watcher
 	old := r.state.Swap(&next)
 	if next.ownResponse.After(old.ownResponse) {
--- a/node/platform/reader.go
+++ b/node/platform/reader.go
@@ -91,9 +91,12 @@
 	// upToDateAsOf is the same by the reads of this VM or of peers.
 	upToDateAsOf time.Time
 	ready        bool
-	// contestedTicket and peersAsked are the machine's values of these names.
+	// contestedTicket, newestTicket, peersAsked and hearsPeers are the machine's values of
+	// these names.
 	contestedTicket uint64
+	newestTicket    uint64
 	peersAsked      bool
+	hearsPeers      bool
 	// isReader is true for a VM that reads the platform for others.
 	isReader bool
 }
@@ -200,12 +203,24 @@
 	return r.state.Load().snapshot
 }
 
+// NewestTicket returns the highest ticket that is in effect here or reported by a peer; 0
+// for none.
+func (r *Reader) NewestTicket() uint64 {
+	return r.state.Load().newestTicket
+}
+
 // ContestedTicket returns the highest ticket that is in use with a content that this VM
 // does not apply; 0 for none.
 func (r *Reader) ContestedTicket() uint64 {
 	return r.state.Load().contestedTicket
 }
 
+// HearsPeers reports whether this VM has no peers or has recently received the report of
+// one.
+func (r *Reader) HearsPeers() bool {
+	return r.state.Load().hearsPeers
+}
+
 // PeersAsked reports whether this VM has a configuration, or has asked its peers for the
 // one that they have.
 func (r *Reader) PeersAsked() bool {
