mirror: reads of the test fleet wait for their peers

Cause: in the virtual fleet a read that waited for the peers failed at once and backed off, which real reads do not.

--- a/node/mirror/epoch_test.go
+++ b/node/mirror/epoch_test.go
@@ -270,8 +270,12 @@
 		delete(f.targets, "t9")
 		f.targets["t8"] = document.Active
 		f.write("t8")
+		f.configure(7, "key-7")
 		f.advance(applyBound)
 		for _, v := range f.vms {
+			if _, ok := v.machine.Snapshot().WorkspaceByKey("key-7"); !ok {
+				t.Fatalf("seed %d: %s lacks the configuration written in the new epoch %v ago", seed, v.id, applyBound)
+			}
 			if _, ok := states(v.machine.Snapshot())["t8"]; !ok {
 				t.Fatalf("seed %d: %s lacks the target that registered in the new epoch %v ago", seed, v.id, applyBound)
 			}
--- a/node/mirror/fleet_test.go
+++ b/node/mirror/fleet_test.go
@@ -286,14 +286,10 @@
 
 // run runs the operations that are due on a VM and checks its configuration.
 func (f *fleet) run(v *vm) {
-	ended, cancel := context.WithCancel(context.Background())
-	cancel() // reads that wait for peers fail at once, because no time passes in them
 	for _, op := range v.machine.Next(f.now, v) {
 		switch op.Kind {
-		case config.Read:
-			v.machine.PlatformDone(f.now, op, v.mirror.Read(ended, op.Key))
-		case config.Watch:
-			v.machine.PlatformDone(f.now, op, v.mirror.Watch(ended, op.Key, op.After, op.Wait))
+		case config.Read, config.Watch:
+			f.ask(v, op)
 		case config.Fetch:
 			f.fetch(v, op)
 		}
@@ -308,6 +304,29 @@
 	}
 }
 
+// ask reads or watches the store. A read that waits for the peers fails at once, because
+// no time passes in it, and is repeated until its timeout.
+func (f *fleet) ask(v *vm, op config.Op) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	machine, value := v.machine, config.Value{}
+	if op.Kind == config.Read {
+		value = v.mirror.Read(ended, op.Key)
+	} else {
+		value = v.mirror.Watch(ended, op.Key, op.After, op.Wait)
+	}
+	if value.Status != config.Failed || v.cutOff || f.now.Sub(op.Sent) >= op.Timeout {
+		machine.PlatformDone(f.now, op, value)
+		return
+	}
+	next := f.now.Add(step)
+	f.due[next] = append(f.due[next], func() {
+		if v.machine == machine {
+			f.ask(v, op)
+		}
+	})
+}
+
 // fetch fetches the configuration of a peer, which has it when the response is sent.
 func (f *fleet) fetch(v *vm, op config.Op) {
 	i := slices.IndexFunc(f.vms, func(p *vm) bool { return p.id == op.Address })
