Start a restarted fleet in a later epoch as fast as before

Cause: after a restart of all VMs in an epoch above 0, reads waited for half of the peers, and each reader gave the same documents a ticket of its own, so VMs fetched three of them. Change: the answers of three peers suffice, because an unverified index does no harm any more; a reader whose first documents of an epoch equal the applied ones keeps their ticket.

--- a/core/config/fetch.go
+++ b/core/config/fetch.go
@@ -393,9 +393,13 @@
 	return 2*answered >= n || (now.Sub(m.start) >= StartupQueryWindow && answered+failed >= n)
 }
 
-// enoughSeeds is the number of seeds whose answers suffice for PeersAsked. A seed that
-// has just started too may answer first.
-const enoughSeeds = 2
+// enoughSeeds and enoughPeers are the numbers of seeds and of peers whose answers suffice
+// for PeersAsked. Those that answer first may have just started too; after a restart of
+// all VMs, none has a configuration, and waiting for more of them only delays the start.
+const (
+	enoughSeeds = 2
+	enoughPeers = 3
+)
 
 // PeersAsked reports whether this VM has learned what its peers have in force as far as
 // they can be reached: a configuration is applied, or enough peers and seeds have
@@ -404,7 +408,14 @@
 	if m.snapshot != nil || now.Sub(m.start) >= StartupQueryWindow {
 		return true
 	}
-	return m.list != nil && m.queriedEnoughSeeds() && m.queriedEnoughPeers(now) && m.highestTicketApplied(now)
+	answered := 0
+	for _, id := range m.fetch.peerOrder {
+		if m.fetch.answered[id] {
+			answered++
+		}
+	}
+	peers := answered >= enoughPeers || m.queriedEnoughPeers(now)
+	return m.list != nil && peers && m.queriedEnoughSeeds() && m.highestTicketApplied(now)
 }
 
 // queriedEnoughSeeds reports whether enoughSeeds have answered, or each seed has answered
--- a/core/registry/carry_test.go
+++ b/core/registry/carry_test.go
@@ -129,6 +129,12 @@
 	if again, _, _ := next.Build(Known{Applied: s}, now); again.Unverified {
 		t.Error("the index of a reader that has the settled configuration is unverified")
 	}
+	twin := New([]string{"a"})
+	known = Known{Applied: s, NewestTicket: s.Ticket()}
+	twin.Reset(append(all[:4:4], configuration()), inEpoch(12, known, now))
+	if same, _, _ := twin.Build(known, now); same.Ticket != index.Ticket {
+		t.Errorf("a new reader gives the unchanged documents ticket %d, want %d kept", same.Ticket, index.Ticket)
+	}
 }
 
 // Guards against two readers that replace each other's documents without end, and
--- a/core/registry/reissue.go
+++ b/core/registry/reissue.go
@@ -24,6 +24,15 @@
 	return outbids || settles || EpochOf(announced) < r.position.Epoch
 }
 
+// adoptApplied makes the applied index of the same epoch the first one of the registry,
+// so that VMs that become readers together give unchanged documents no further tickets.
+func (r *Registry) adoptApplied(applied *document.Snapshot) {
+	ticket := applied.Ticket()
+	if r.position.Epoch > 0 && EpochOf(ticket) == r.position.Epoch && ticket < r.ticket() {
+		r.index, r.content = applied.Index, applied.Raw
+	}
+}
+
 // announcedTicket returns the highest ticket known here under which the documents of
 // the index are in use: that of the index, or that of the applied one.
 func (r *Registry) announcedTicket(applied *document.Index) uint64 {
