registry: no limit of revisions for stores without epochs

Cause: a store that sends no epoch may have any revision; the limit of a ticket's lower part refused revisions above 2^39, which were accepted before. Change: the limit applies in epochs above 0 only, and the mirror compares the epochs of tickets. Measured: go test ./core/registry ./node/mirror passes, with a revision of 2^50 in epoch 0.

--- a/core/registry/position.go
+++ b/core/registry/position.go
@@ -10,7 +10,7 @@
 const (
 	// MaxEpoch is the highest store epoch.
 	MaxEpoch = 1<<(64-epochShift) - 1
-	// MaxRevision is the highest revision.
+	// MaxRevision is the highest revision of a store that reports its epoch.
 	MaxRevision = 1<<(epochShift-1) - 1
 )
 
@@ -26,12 +26,16 @@
 
 // NewPosition returns a position. It returns an error when a number exceeds its limit.
 func NewPosition(epoch, revision uint64) (Position, error) {
-	if epoch > MaxEpoch || revision > MaxRevision {
+	if epoch > MaxEpoch || (epoch > 0 && revision > MaxRevision) {
 		return Position{}, trace.BadParameter("store epoch %d, revision %d: the limits are %d and %d", epoch, revision, uint64(MaxEpoch), uint64(MaxRevision))
 	}
 	return Position{Epoch: epoch, Revision: revision}, nil
 }
 
+// TicketEpoch returns the epoch that a ticket of the position has. It differs from Epoch
+// where a store without epochs has a revision above MaxRevision.
+func (p Position) TicketEpoch() uint64 { return EpochOf(p.ticket(true)) }
+
 // Before reports whether p is lower than q.
 func (p Position) Before(q Position) bool {
 	if p.Epoch != q.Epoch {
@@ -44,7 +48,7 @@
 // lower one is used while documents hold targets or failure domains that differ from
 // the store's content.
 func (p Position) ticket(provisional bool) uint64 {
-	t := p.Epoch<<epochShift | 2*p.Revision
+	t := p.Epoch<<epochShift + 2*p.Revision
 	if !provisional {
 		t++
 	}
--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -202,8 +202,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	a := registry.Answer{At: at, Known: m.fleet.Known(), Now: m.now()}
-	known := max(m.registry.Position().Epoch, registry.EpochOf(a.Known.NewestTicket))
-	if at.Epoch < known {
+	known := max(m.registry.Position().TicketEpoch(), registry.EpochOf(a.Known.NewestTicket))
+	if at.TicketEpoch() < known {
 		return trace.CompareFailed("the answer has store epoch %d, lower than epoch %d, which is known", at.Epoch, known)
 	}
 	if m.failing {
