registry: settled documents replace provisional ones at once

Cause: a reader left the provisional documents of others in force for 60 s after a return, so the half of a split fleet that missed the return could bring back targets that left meanwhile.

--- a/core/registry/carry.go
+++ b/core/registry/carry.go
@@ -19,10 +19,10 @@
 	// next write, and the store removes registrations that nobody renews well within
 	// that time.
 	overridePeriod = 30 * time.Second
-	// settlePeriod is the time after the first read of an epoch in which provisional
-	// documents of other readers are left in force: readers that become aware of the
-	// return at different times stop carrying at different times.
-	settlePeriod = 2 * overridePeriod
+	// unverifiedPeriod is how long documents count as unverified that were built without
+	// knowing what the fleet had in force: by then the live targets and the operator have
+	// repeated their writes, and no reader carries anything any more.
+	unverifiedPeriod = 2 * overridePeriod
 )
 
 // Known is what this VM knows of the fleet's configuration.
@@ -80,8 +80,8 @@
 type carryState struct {
 	// first is the revision of the first read in the epoch: later changes were written
 	// after the return.
-	first        uint64
-	settledAfter time.Time
+	first           uint64
+	unverifiedUntil time.Time
 	// unverified is true when this VM did not know what the fleet had in force before.
 	unverified bool
 	targets    map[string]carriedTarget
@@ -94,7 +94,7 @@
 func (r *Registry) beginEpoch(a Answer) {
 	r.retained = map[string]retainedTarget{}
 	r.carried = carryState{
-		first: a.At.Revision, settledAfter: a.Now.Add(settlePeriod), unverified: !a.Known.informed(a.At.Epoch),
+		first: a.At.Revision, unverifiedUntil: a.Now.Add(unverifiedPeriod), unverified: !a.Known.informed(a.At.Epoch),
 		targets: map[string]carriedTarget{}, domains: map[string]carriedDomain{},
 	}
 	applied := a.Known.Applied
@@ -133,7 +133,7 @@
 // unverified reports whether the documents may hold entries of an older copy that the
 // fleet knows to be outdated.
 func (r *Registry) unverified(now time.Time) bool {
-	return r.carried.unverified && now.Before(r.carried.settledAfter)
+	return r.carried.unverified && now.Before(r.carried.unverifiedUntil)
 }
 
 // release ends the use of carried knowledge that a change replaces which was written
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -231,12 +231,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if r.index == nil {
-		r.adoptApplied(known.Applied)
-	}
+	r.adoptApplied(known.Applied, content)
 	next := &document.Index{Ticket: r.ticket(), ConfigVersion: configuration.Version, Unverified: r.unverified(now)}
 	unchanged := r.index != nil && r.index.ConfigVersion == next.ConfigVersion && r.index.Unverified == next.Unverified
-	if unchanged && sameContent(content, r.content) && !r.mustReissue(known, now) {
+	if unchanged && sameContent(content, r.content) && !r.mustReissue(known) {
 		return r.index, r.content, nil
 	}
 	if r.index != nil && next.Ticket <= r.index.Ticket {
--- a/core/registry/reissue.go
+++ b/core/registry/reissue.go
@@ -2,15 +2,14 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/galenasail/galenasail/core/document"
 )
 
 // mustReissue reports whether unchanged documents need an index with a higher ticket.
-func (r *Registry) mustReissue(known Known, now time.Time) bool {
+func (r *Registry) mustReissue(known Known) bool {
 	applied := known.index()
-	if r.superseded(applied, now) {
+	if r.superseded(applied) {
 		return true
 	}
 	if r.position.Epoch == 0 {
@@ -24,11 +23,15 @@
 	return outbids || settles || EpochOf(announced) < r.position.Epoch
 }
 
-// adoptApplied makes the applied index of the same epoch the first one of the registry,
-// so that VMs that become readers together give unchanged documents no further tickets.
-func (r *Registry) adoptApplied(applied *document.Snapshot) {
+// adoptApplied makes the applied index of the same epoch that of the registry where its
+// documents are those given, so that VMs that read later than others give unchanged
+// documents no further tickets.
+func (r *Registry) adoptApplied(applied *document.Snapshot, content document.Content) {
 	ticket := applied.Ticket()
-	if r.position.Epoch > 0 && EpochOf(ticket) == r.position.Epoch && ticket < r.ticket() {
+	if r.position.Epoch == 0 || EpochOf(ticket) != r.position.Epoch || ticket >= r.ticket() {
+		return
+	}
+	if (r.index == nil || ticket > r.index.Ticket) && sameContent(content, applied.Raw) {
 		r.index, r.content = applied.Index, applied.Raw
 	}
 }
@@ -43,19 +46,15 @@
 }
 
 // superseded reports whether the applied documents were read before this registry's
-// revision and differ from its own, which have a lower ticket. Provisional documents
-// of this registry are left as they are, because other readers may know that these
-// targets have deregistered; those of other readers are left in force for some time
-// after a return of the store, because they may carry more.
-func (r *Registry) superseded(applied *document.Index, now time.Time) bool {
+// revision and differ from its own, which have a lower ticket. Provisional documents are
+// left as they are, because other readers may know that these targets have
+// deregistered.
+func (r *Registry) superseded(applied *document.Index) bool {
 	if applied == nil || applied.Ticket <= r.index.Ticket || applied.Ticket >= r.ticket() {
 		return false
 	}
 	if slices.Equal(applied.Documents, r.index.Documents) {
 		return false
 	}
-	if r.position.Epoch > 0 && now.Before(r.carried.settledAfter) && isProvisional(applied.Ticket) {
-		return false
-	}
 	return !r.provisional()
 }
