mirror: log a new epoch only where a former one was read

Cause: in a trial with six daemons on loopback each start of a process logged a new epoch. Change: the line is written when the store's content of another epoch was known.

--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -190,7 +190,7 @@
 func (m *Mirror) reset(all []registry.Change, a registry.Answer) {
 	old := m.registry.Position()
 	m.registry.Reset(all, a)
-	if a.At.Epoch != old.Epoch {
+	if old.Revision != 0 && a.At.Epoch != old.Epoch {
 		m.logger.Info("the store has a new epoch", "epoch", a.At.Epoch, "revision", a.At.Revision,
 			"formerEpoch", old.Epoch, "formerRevision", old.Revision, "appliedTicket", a.Known.Applied.Ticket())
 	}
