--- a/node/mirror/epoch_test.go
+++ b/node/mirror/epoch_test.go
@@ -259,6 +259,38 @@
 	}
 }
 
+// Guards against a fleet without knowledge that serves late, that follows changes late,
+// or that counts as such for good.
+func TestRestartOfAllVMsInALaterEpoch(t *testing.T) {
+	for seed := range seeds() {
+		f := newFleet(t, seed, 6)
+		f.restore(f.store.copy())
+		f.advance(backAfter + applyBound)
+		for _, v := range f.vms {
+			f.start(v)
+		}
+		f.advance(2 * time.Second)
+		f.converged("2 s after the restart")
+		f.targets["t9"] = document.Active
+		f.configure(6, "key-6")
+		f.write("t9")
+		f.advance(applyBound)
+		f.converged("after a change")
+		for _, v := range f.vms {
+			if s := v.machine.Snapshot(); !v.machine.Ready() || s.ConfigVersion() != 6 || !s.Unverified() {
+				t.Errorf("seed %d: %s is ready: %t, with version %d, unverified: %t", seed, v.id, v.machine.Ready(), s.ConfigVersion(), s.Unverified())
+			}
+		}
+		f.advance(time.Minute)
+		f.converged("a minute after the restart")
+		for _, v := range f.vms {
+			if v.machine.Snapshot().Unverified() {
+				t.Errorf("seed %d: the configuration of %s is still unverified", seed, v.id)
+			}
+		}
+	}
+}
+
 // Guards against a reader that misses the return and reads on from its old revision once
 // the store has passed that revision again.
 func TestReaderThatMissesTheReturn(t *testing.T) {
