--- a/core/config/fetch.go
+++ b/core/config/fetch.go
@@ -393,6 +393,46 @@
 	return 2*answered >= n || (now.Sub(m.start) >= StartupQueryWindow && answered+failed >= n)
 }
 
+// enoughSeeds and enoughPeers are the numbers of seeds and of peers whose answers suffice
+// for PeersAsked. Those that answer first may have just started too; after a restart of
+// all VMs, none has a configuration, and waiting for more of them only delays the start.
+const (
+	enoughSeeds = 2
+	enoughPeers = 3
+)
+
+// PeersAsked reports whether this VM has learned what its peers have in force as far as
+// they can be reached: a configuration is applied, or enough peers and seeds have
+// answered without one, or StartupQueryWindow has passed.
+func (m *Machine) PeersAsked(now time.Time) bool {
+	if m.snapshot != nil || now.Sub(m.start) >= StartupQueryWindow {
+		return true
+	}
+	answered := 0
+	for _, id := range m.fetch.peerOrder {
+		if m.fetch.answered[id] {
+			answered++
+		}
+	}
+	peers := answered >= enoughPeers || m.queriedEnoughPeers(now)
+	return m.list != nil && peers && m.queriedEnoughSeeds() && m.highestTicketApplied(now)
+}
+
+// queriedEnoughSeeds reports whether enoughSeeds have answered, or each seed has answered
+// or a fetch from it has ended.
+func (m *Machine) queriedEnoughSeeds() bool {
+	answered, ended := 0, 0
+	for _, seed := range m.fetch.seeds {
+		if m.fetch.answered[seed] {
+			answered++
+		}
+		if _, ok := m.fetch.lastTried[seed]; ok {
+			ended++
+		}
+	}
+	return answered >= enoughSeeds || ended == len(m.fetch.seeds)
+}
+
 // highestTicketApplied reports whether no higher ticket is being collected or reported
 // by a peer than the one applied here.
 func (m *Machine) highestTicketApplied(now time.Time) bool {
--- a/core/config/pending.go
+++ b/core/config/pending.go
@@ -69,6 +69,7 @@
 // reportConflict reports, once for each content, that the applied ticket also exists
 // with another content.
 func (m *Machine) reportConflict(ticket uint64, digest uint32, from string) {
+	m.contestedTicket = max(m.contestedTicket, ticket)
 	if m.refused.add(ticket, digest) {
 		m.reportRefusal(&document.ValidationError{
 			Ticket: ticket, Document: indexKey, Field: "digest",
@@ -77,6 +78,28 @@
 	}
 }
 
+// refuseOutdated rejects an index with a higher ticket that would revert what is in
+// force here, and reports whether it does: its configuration version is lower, or a
+// peer built it without the knowledge that is in force here. Its ticket does not count
+// as settled: the content that comes with it is still expected under a higher ticket.
+func (m *Machine) refuseOutdated(ix *document.Index, digest uint32, peer string) bool {
+	e := &document.ValidationError{Ticket: ix.Ticket, Document: indexKey}
+	switch {
+	case ix.ConfigVersion < m.snapshot.ConfigVersion():
+		e.Field = "configVersion"
+		e.Reason = fmt.Sprintf("%s has version %d, lower than version %d, which is in force", describeSource(peer), ix.ConfigVersion, m.snapshot.ConfigVersion())
+	case ix.Unverified && peer != "" && m.snapshot != nil && !m.snapshot.Unverified():
+		e.Field = "unverified"
+		e.Reason = describeSource(peer) + " built it without knowing the configuration in force"
+	default:
+		return false
+	}
+	m.contestedTicket = max(m.contestedTicket, ix.Ticket)
+	m.refused.add(ix.Ticket, digest)
+	m.reportRefusal(e)
+	return true
+}
+
 // considerIndex processes an index read from the given peer, or from the platform when
 // peer is empty. Docs are its documents where they came with it, else nil.
 func (m *Machine) considerIndex(now time.Time, raw []byte, docs document.Content, peer string) {
@@ -98,6 +121,8 @@
 		return
 	case ix.Ticket == m.snapshot.Ticket() && digest == m.digest:
 		return
+	case m.refuseOutdated(ix, digest, peer):
+		return
 	}
 	if p := m.pending; docs == nil && p != nil && ix.Ticket <= p.index.Ticket && now.Sub(p.lastProgress) < pendingTimeout {
 		if digest == p.digest && peer == "" && !p.fromPlatform {
