--- a/core/event/event.go
+++ b/core/event/event.go
@@ -28,6 +28,8 @@
 	ConfigBehind
 	// ConfigCurrent: the configuration in effect is known to be the newest one again.
 	ConfigCurrent
+	// StoreEpoch: a configuration of another store epoch took effect on this VM.
+	StoreEpoch
 	// ListApplied: a VM list took effect on this VM.
 	ListApplied
 	// PlatformLost: the platform stopped answering this VM.
@@ -50,6 +52,9 @@
 	GroupReady
 	// GroupBusy: requests are waiting for a slot of a target group.
 	GroupBusy
+	// GroupOverloaded: a target group refuses or reorders requests, or its targets begin or
+	// stop shedding load.
+	GroupOverloaded
 	// TargetEjected: outlier detection ejected a target.
 	TargetEjected
 	// TargetReturned: an ejected target receives requests again.
@@ -87,6 +92,8 @@
 	// RequestDone: a request finished. It is recorded when the request failed, was
 	// refused or retried, or when the caller requested a trace.
 	RequestDone
+	// RequestPanicked: the handler of a request panicked.
+	RequestPanicked
 
 	kindCount
 )
@@ -94,17 +101,18 @@
 var names = [kindCount]string{
 	Started: "started", Stopping: "stopping", Stopped: "stopped",
 	ConfigApplied: "config_applied", ConfigRefused: "config_refused",
-	ConfigBehind: "config_behind", ConfigCurrent: "config_current", ListApplied: "list_applied",
+	ConfigBehind: "config_behind", ConfigCurrent: "config_current", StoreEpoch: "store_epoch", ListApplied: "list_applied",
 	PlatformLost: "platform_lost", PlatformBack: "platform_back",
 	PeerLost: "peer_lost", PeerBack: "peer_back",
 	ContactLost: "contact_lost", ContactBack: "contact_back",
 	LeaseHeld: "lease_held", LeaseLost: "lease_lost", GroupReady: "group_ready", GroupBusy: "group_busy",
-	TargetEjected: "target_ejected", TargetReturned: "target_returned", EjectionRefused: "ejection_refused",
+	GroupOverloaded: "group_overloaded",
+	TargetEjected:   "target_ejected", TargetReturned: "target_returned", EjectionRefused: "ejection_refused",
 	TargetCold: "target_cold", TargetWarm: "target_warm", TargetLimited: "target_limited", TargetDraining: "target_draining", TargetPaused: "target_paused",
 	PathAvoided: "path_avoided", DomainOut: "domain_out", DomainIn: "domain_in",
 	RequestPoisoned: "request_poisoned", KeyRevoked: "key_withdrawn",
 	DutyFailed: "duty_failed", MessageShed: "message_shed", PeerRefused: "peer_refused",
-	InvariantViolated: "invariant_violated", RequestDone: "request_done",
+	InvariantViolated: "invariant_violated", RequestDone: "request_done", RequestPanicked: "request_panicked",
 }
 
 // Kinds returns all event kinds in the order of their declaration.
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -30,7 +30,10 @@
 	query     string      // sent to targets, without the key
 	ctx       context.Context
 	deadline  time.Time
-	body      *callerBody
+	// returnedAfter is the time since the caller first sent the request, as far as the
+	// deadline shows; 0 without overload control.
+	returnedAfter time.Duration
+	body          *callerBody
 	// fingerprint identifies the request in the quarantine table.
 	fingerprint    uint64
 	idempotencyKey string // text of the idempotency key; empty if the caller sent none
@@ -63,6 +66,7 @@
 	if h.closeAfterAnswer.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer ex.recoverPanic()
 	err := ex.serve()
 	if ex.service != nil {
 		h.outcomes.record(ex.service.Name, err == nil && out.status < http.StatusInternalServerError, time.Now())
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -184,6 +184,7 @@
 		LocalDomains:     d.settings.LocalDomains,
 		AnticipateLoad:   d.settings.AnticipateLoad,
 		OnLoadChoice:     func(r pool.LoadChoice) { d.requestMetrics.countLoadChoice(r) },
+		OverloadControl:  d.settings.OverloadControl,
 	})
 }
 
@@ -199,6 +200,8 @@
 		PoisonMarks: d.cell,
 		Events:      d.recorder,
 		Metrics:     d.requestMetrics,
+
+		OverloadControl: d.settings.OverloadControl,
 	}
 	if a := d.adapter; a != nil {
 		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(), adapterConnsPerTarget, adapterStartWait
@@ -232,7 +235,7 @@
 func (d *Daemon) source() platform.Source {
 	var source platform.Source = platform.NewHTTP(d.settings.PlatformURL, d.settings.ID, nil)
 	if d.adapter != nil {
-		source = mirror.New(d.adapter.StoreClient, d.adapter.Domains, func() *document.Index { return d.reader.Index() }, d.storeOutage, d.logger)
+		source = mirror.New(d.adapter.StoreClient, d.adapter.Domains, d.fleetKnown(), d.logger)
 	}
 	if d.partition == nil {
 		return source
@@ -273,6 +276,7 @@
 // domain.
 func (d *Daemon) onTicket(s *document.Snapshot, fromPlatform bool) {
 	d.recorder.SetTicket(s.Ticket())
+	d.storeEpochs.observe(s.Ticket())
 	if fromPlatform || !d.selfManagedMembership() {
 		d.cell.Announce()
 		return
