--- a/core/target/overload_test.go
+++ b/core/target/overload_test.go
@@ -121,9 +121,19 @@
 // objective, also when its priority is higher, and against one that gets less than its
 // usual demand because of its excess.
 func TestWorkspaceAboveItsUsualDemand(t *testing.T) {
+	checkWorkspaceAboveItsUsualDemand(t, 1050)
+}
+
+// Guards against the same with the other workspaces at 0.83 of what the service completes.
+func TestWorkspaceAboveItsUsualDemandBesideMoreLoad(t *testing.T) {
+	checkWorkspaceAboveItsUsualDemand(t, 1150)
+}
+
+func checkWorkspaceAboveItsUsualDemand(t *testing.T, othersPerSecond float64) {
+	t.Helper()
 	const factor = 7.5
 	for _, priority := range []int{0, 1} {
-		others, big := bookings(1050), bookings(80)
+		others, big := bookings(othersPerSecond), bookings(80)
 		others.workspacePriority = priority
 		big.name, big.workspace, big.extra = "big", "big", duringEvent(factor)
 		l := overloadLoad{kinds: []overloadKind{others, big}, maxSends: 3, length: eventFrom + eventFor}
