pool: count permits by failure domain

Cause: an operator could not see whether requests stay in their failure domain. Change: metric permits by domain, own or other. Result: unit tests of pool and daemon pass.

--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -182,6 +182,7 @@
 		System:           d.system,
 		FleetRetryBudget: d.fleetRetryBudget(),
 		LocalDomains:     d.settings.LocalDomains,
+		OnLocality:       func(local bool) { d.requestMetrics.countPermit(local) },
 		AnticipateLoad:   d.settings.AnticipateLoad,
 		OnLoadChoice:     func(r pool.LoadChoice) { d.requestMetrics.countLoadChoice(r) },
 		OverloadControl:  d.settings.OverloadControl,
--- a/node/daemon/request_metrics.go
+++ b/node/daemon/request_metrics.go
@@ -26,6 +26,9 @@
 	addedLatency tally.Histogram
 	retries      tally.Counter
 	hedges       tally.Counter
+	// localPermits and remotePermits count permits for targets in the VM's failure domain
+	// and in others, where requests prefer their own.
+	localPermits, remotePermits tally.Counter
 	// loadChoices counts choices by expected load.
 	loadChoices map[pool.LoadChoice]tally.Counter
 	withheld    tally.Counter
@@ -71,6 +74,9 @@
 		configAge:    scope.Histogram("config_age", configAgeBuckets()),
 		workspaces:   map[string]*workspaceCounts{},
 		loadChoices:  map[pool.LoadChoice]tally.Counter{},
+
+		localPermits:  scope.Tagged(map[string]string{"domain": "own"}).Counter("permits"),
+		remotePermits: scope.Tagged(map[string]string{"domain": "other"}).Counter("permits"),
 	}
 	for _, r := range pool.LoadChoices() {
 		c.loadChoices[r] = scope.Tagged(map[string]string{"result": string(r)}).Counter("load_choices")
@@ -114,6 +120,15 @@
 	c.addedLatency.RecordDuration(d)
 }
 
+// countPermit counts a permit by whether its target is in the VM's failure domain.
+func (c *requestMetrics) countPermit(local bool) {
+	if local {
+		c.localPermits.Inc(1)
+		return
+	}
+	c.remotePermits.Inc(1)
+}
+
 // countLoadChoice counts a choice of a target group by expected load.
 func (c *requestMetrics) countLoadChoice(r pool.LoadChoice) {
 	c.loadChoices[r].Inc(1)
--- a/node/pool/calls.go
+++ b/node/pool/calls.go
@@ -199,6 +199,7 @@
 		return nil
 	}
 	c.held[pt.id] = pt
+	c.pool.recordLocality(t)
 	return &permitUse{permit: pt}
 }
 
--- a/node/pool/locality.go
+++ b/node/pool/locality.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/galenasail/galenasail/core/document"
 	"github.com/galenasail/galenasail/core/member"
 	"github.com/galenasail/galenasail/core/target"
 )
@@ -25,6 +26,13 @@
 	return len(p.config.LocalDomains) > 0 && domain != "" && domain != p.config.Identity.VM.FailureDomain
 }
 
+// recordLocality counts a permit for a target by whether it is in the domain of this VM.
+func (p *Pool) recordLocality(t document.Target) {
+	if p.config.OnLocality != nil && len(p.config.LocalDomains) > 0 {
+		p.config.OnLocality(t.FailureDomain == p.config.Identity.VM.FailureDomain)
+	}
+}
+
 // order returns the clients in the order in which they are asked for a permit.
 func (p *Pool) order(clients []*groupClient) []*groupClient {
 	ordered := orderByLoad(clients)
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -53,6 +53,9 @@
 	// are in one of them belongs to a shard whose seat is assigned to that domain, and
 	// requests prefer the groups of this VM's domain. Default: none.
 	LocalDomains []string
+	// OnLocality is called for each permit where LocalDomains is set; local reports whether
+	// the target is in the failure domain of this VM. Default: not called.
+	OnLocality func(local bool)
 	// AnticipateLoad chooses groups by their expected load and not by the last response
 	// alone, and makes holders learn what each target serves at once. Default: false.
 	AnticipateLoad bool
