--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -59,6 +59,29 @@
 	// MemoryMB is the memory that the process may use, in megabytes; 0 is unknown.
 	// Default: 0.
 	MemoryMB int `json:"memoryMB,omitempty"`
+	// MaxDescriptors is the number of file descriptors that the process may open; 0 is
+	// what the system reports at start. Default: 0.
+	MaxDescriptors int `json:"maxDescriptors,omitempty"`
+	// CallerLimits bounds what is held for callers. Default: derived from MemoryMB and
+	// MaxDescriptors.
+	CallerLimits CallerLimits `json:"callerLimits,omitzero"`
+}
+
+// CallerLimits bounds what a VM holds for callers. A field with value 0 has its derived
+// default.
+type CallerLimits struct {
+	// HeldMB is the memory for connections, headers, bodies and responses of callers, in
+	// megabytes. Default: half of the memory above 64 MB, at least an eighth of it.
+	HeldMB int `json:"heldMB,omitempty"`
+	// Connections is the maximum number of connections of callers. Default: half of the
+	// descriptors.
+	Connections int `json:"connections,omitempty"`
+	// BodyBufferKB is the largest part of a body that is read before a target is chosen,
+	// in kilobytes. Default: a thirty-second part of HeldMB, 64 to 8192.
+	BodyBufferKB int `json:"bodyBufferKB,omitempty"`
+	// StallMs is how long a body or a response may make no progress, in milliseconds.
+	// Default: 3000.
+	StallMs int `json:"stallMs,omitempty"`
 }
 
 // SmallFleetSeats is the value of Seats for fleets with a small load. With two holders, one
@@ -137,6 +160,12 @@
 	if s.MemoryMB < 0 {
 		return trace.BadParameter("settings: memoryMB %d is below 0", s.MemoryMB)
 	}
+	if s.MaxDescriptors < 0 {
+		return trace.BadParameter("settings: maxDescriptors %d is below 0", s.MaxDescriptors)
+	}
+	if err := s.CallerLimits.check(); err != nil {
+		return err
+	}
 	if s.TrustNetwork && s.SharedKey != "" {
 		return trace.BadParameter("settings: sharedKey and trustNetwork are mutually exclusive")
 	}
@@ -146,6 +175,19 @@
 	return nil
 }
 
+// check returns an error that names the first field below 0.
+func (c CallerLimits) check() error {
+	for _, f := range []struct {
+		name  string
+		value int
+	}{{"heldMB", c.HeldMB}, {"connections", c.Connections}, {"bodyBufferKB", c.BodyBufferKB}, {"stallMs", c.StallMs}} {
+		if f.value < 0 {
+			return trace.BadParameter("settings: callerLimits.%s %d is below 0", f.name, f.value)
+		}
+	}
+	return nil
+}
+
 // checkAddress returns an error unless value is an IP address with a port; processes are
 // addressed by IP address and never by host name.
 func checkAddress(value string) error {
