core, node: a budget for what is held for callers, wrapped connections and bodies read ahead

Listeners of peers and operators have budgets of their own. A deadline of net/http that was replaced meanwhile no longer ends a read of readAheadConn.

--- a/cmd/galenasaild/main.go
+++ b/cmd/galenasaild/main.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	daemon.ConfigureGC(s.MemoryMB)
+	daemon.ConfigureGC(s)
 	logger, err := newLogger(s)
 	if err != nil {
 		return trace.Wrap(err)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -80,6 +80,9 @@
 	MessageShed
 	// PeerRefused: a peer message had no valid signature.
 	PeerRefused
+	// CallerRefused: the limits for what is held for callers refused a request or closed a
+	// connection.
+	CallerRefused
 	// InvariantViolated: an invariant of the fleet did not hold.
 	InvariantViolated
 	// RequestDone: a request finished. It is recorded when the request failed, was
@@ -102,7 +105,7 @@
 	PathAvoided: "path_avoided", DomainOut: "domain_out", DomainIn: "domain_in",
 	RequestPoisoned: "request_poisoned", KeyRevoked: "key_withdrawn",
 	DutyFailed: "duty_failed", MessageShed: "message_shed", PeerRefused: "peer_refused",
-	InvariantViolated: "invariant_violated", RequestDone: "request_done",
+	CallerRefused: "caller_refused", InvariantViolated: "invariant_violated", RequestDone: "request_done",
 }
 
 // Kinds returns all event kinds in the order of their declaration.
--- /dev/null
+++ b/core/membudget/budget_test.go
@@ -0,0 +1,192 @@
+package membudget
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// open opens an account that must fit.
+func open(t *testing.T, b *Budget, name string, bytes int64, now time.Time) *Account {
+	t.Helper()
+	a, _, ok := b.Open(name, bytes, now)
+	if !ok {
+		t.Fatalf("no room for %d bytes of %s", bytes, name)
+	}
+	return a
+}
+
+// Guards against a limit that is off by one byte or one connection.
+func TestLimitsAreExact(t *testing.T) {
+	b := New(Limits{Bytes: 100, Connections: 2})
+	a := open(t, b, "x", 99, start)
+	if _, ok := b.Charge(a, 1, start); !ok {
+		t.Error("the last byte within the limit was refused")
+	}
+	if _, ok := b.Charge(a, 1, start); ok {
+		t.Error("a byte above the limit was granted")
+	}
+	b.Release(a, 50)
+	open(t, b, "x", 1, start)
+	if _, _, ok := b.Open("x", 1, start); ok {
+		t.Error("a connection above the limit was opened")
+	}
+	if _, _, ok := b.Open("x", 101, start); ok || b.Connections() != 2 {
+		t.Error("a demand above the whole budget was granted or closed others")
+	}
+}
+
+// Guards against closing a connection before the grace of its phase, and against keeping it
+// afterwards while there is no room.
+func TestStalledConnectionsAreClosedFirst(t *testing.T) {
+	for phase, grace := range map[Phase]time.Duration{Header: activeGrace, Body: activeGrace, Writing: activeGrace, Idle: idleGrace} {
+		for _, late := range []bool{false, true} {
+			b := New(Limits{Bytes: 100, Connections: 10})
+			stalled := open(t, b, "big", 60, start)
+			b.Progress(stalled, phase, start)
+			busy := open(t, b, "big", 40, start)
+			b.Progress(busy, Running, start)
+			now := start.Add(grace)
+			if late {
+				now = now.Add(time.Nanosecond)
+			}
+			_, _, ok := b.Open("big", 20, now)
+			if stalled.Closed() != late || ok != late || busy.Closed() {
+				t.Errorf("phase %d, late %v: stalled closed %v, granted %v, running closed %v", phase, late, stalled.Closed(), ok, busy.Closed())
+			}
+		}
+	}
+}
+
+// Guards against closing a connection that made progress later than another stalled one.
+func TestLongestStalledIsClosedFirst(t *testing.T) {
+	b := New(Limits{Bytes: 100, Connections: 10})
+	newer := open(t, b, "x", 50, start.Add(time.Second))
+	older := open(t, b, "x", 50, start)
+	open(t, b, "y", 10, start.Add(time.Minute))
+	if !older.Closed() || newer.Closed() {
+		t.Errorf("older closed %v, newer closed %v", older.Closed(), newer.Closed())
+	}
+}
+
+// Guards against a flood from one address that takes the share of a workspace.
+func TestLargestHolderLosesItsNewest(t *testing.T) {
+	b := New(Limits{Bytes: 100, Connections: 10})
+	first, second := open(t, b, "flood", 40, start), open(t, b, "flood", 40, start)
+	small := open(t, b, "small", 20, start)
+	evicted, ok := b.Charge(small, 20, start)
+	if !ok || len(evicted) != 1 || evicted[0] != second || first.Closed() {
+		t.Errorf("granted %v, %d closed, first closed %v", ok, len(evicted), first.Closed())
+	}
+	if _, ok := b.Charge(first, 30, start); ok {
+		t.Error("the largest holder got more at the cost of a smaller one")
+	}
+	b.Assign(first, "small")
+	if len(b.holders) != 1 || b.holders["small"].bytes != b.Bytes() {
+		t.Errorf("after the assignment: %d holders", len(b.holders))
+	}
+}
+
+// Guards against a request at a target that is closed although one of the same holder that
+// is not at a target could be.
+func TestRunningRequestIsClosedLast(t *testing.T) {
+	b := New(Limits{Bytes: 100, Connections: 10})
+	reading, running := open(t, b, "flood", 40, start), open(t, b, "flood", 40, start)
+	b.Progress(running, Running, start)
+	open(t, b, "small", 30, start)
+	if !reading.Closed() || running.Closed() {
+		t.Errorf("reading closed %v, running closed %v", reading.Closed(), running.Closed())
+	}
+}
+
+// Guards against bytes in use that are not counted, or that a closed account keeps.
+func TestHoldExceedsTheLimit(t *testing.T) {
+	b := New(Limits{Bytes: 10, Connections: 1})
+	a := open(t, b, "x", 10, start)
+	b.Hold(a, 5, start)
+	if b.Bytes() != 15 {
+		t.Errorf("%d bytes held, want 15", b.Bytes())
+	}
+	b.Close(a)
+	b.Close(a)
+	b.Hold(a, 5, start)
+	b.Release(a, 5)
+	if _, ok := b.Charge(a, 1, start); ok || b.Bytes() != 0 || b.Connections() != 0 || len(b.holders) != 0 {
+		t.Errorf("a closed account holds %d bytes", b.Bytes())
+	}
+}
+
+// Guards against sums that differ from the accounts, limits that are exceeded, and the
+// eviction of a holder that is within its share and makes progress.
+func TestRandomCallers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Bytes: 1000, Connections: 12}
+		b := New(limits)
+		now := start
+		var accounts []*Account
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			held := map[*Account]int64{}
+			progressing := map[*Account]bool{}
+			for _, a := range b.accounts {
+				held[a], progressing[a] = a.holder.bytes, !a.stalled(now)
+			}
+			crowds := int64(len(b.holders) + 1)
+			bytes := int64(rapid.IntRange(0, 400).Draw(t, "bytes"))
+			var evicted []*Account
+			var requester *Account
+			if len(accounts) == 0 || rapid.Bool().Draw(t, "open") {
+				requester, evicted, _ = b.Open(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "holder")), bytes, now)
+				if requester != nil {
+					accounts = append(accounts, requester)
+				}
+			} else {
+				requester = accounts[rapid.IntRange(0, len(accounts)-1).Draw(t, "account")]
+				switch rapid.IntRange(0, 3).Draw(t, "action") {
+				case 0:
+					evicted, _ = b.Charge(requester, bytes, now)
+				case 1:
+					b.Release(requester, bytes)
+				case 2:
+					b.Close(requester)
+				case 3:
+					b.Progress(requester, Phase(rapid.IntRange(0, 4).Draw(t, "phase")), now)
+				}
+			}
+			for _, a := range evicted {
+				if a == requester {
+					t.Fatal("the requester was closed to make room for itself")
+				}
+				full := len(held)+1 > limits.Connections
+				if progressing[a] && held[a] < limits.Bytes/crowds/2 && !full {
+					t.Fatalf("closed a connection of a holder with %d bytes", held[a])
+				}
+			}
+			checkSums(t, b, limits)
+		}
+	})
+}
+
+func checkSums(t *rapid.T, b *Budget, limits Limits) {
+	var bytes int64
+	byHolder := map[*holder]int64{}
+	for i, a := range b.accounts {
+		if a.position != i || a.closed {
+			t.Fatal("a closed or misplaced account is listed")
+		}
+		bytes += a.bytes
+		byHolder[a.holder] += a.bytes
+	}
+	if bytes != b.Bytes() || bytes > limits.Bytes || len(b.accounts) > limits.Connections || len(byHolder) != len(b.holders) {
+		t.Fatalf("%d bytes in accounts, %d counted, %d accounts, %d of %d holders", bytes, b.Bytes(), len(b.accounts), len(byHolder), len(b.holders))
+	}
+	for h, n := range byHolder {
+		if h.bytes != n {
+			t.Fatalf("holder %s: %d bytes in accounts, %d counted", h.name, n, h.bytes)
+		}
+	}
+}
--- /dev/null
+++ b/core/membudget/evict.go
@@ -0,0 +1,119 @@
+package membudget
+
+import (
+	"slices"
+	"time"
+)
+
+// evictionSlack is the part of a limit that is freed beyond a demand while connections are
+// stalled, so that a flood does not cause an eviction for each of its connections.
+const evictionSlack = 16
+
+// demand is what an account needs in addition to what it holds.
+type demand struct {
+	bytes       int64
+	connections int
+}
+
+// fits reports whether d fits under the limits less slack of each.
+func (b *Budget) fits(d demand, slackBytes int64, slackConnections int) bool {
+	return b.bytes+d.bytes <= b.limits.Bytes-slackBytes &&
+		len(b.accounts)+d.connections <= b.limits.Connections-slackConnections
+}
+
+// makeRoom closes accounts until d fits and reports whether it does. It never closes the
+// account of the requester.
+func (b *Budget) makeRoom(requester *Account, d demand, now time.Time) (evicted []*Account, ok bool) {
+	if b.fits(d, 0, 0) {
+		return nil, true
+	}
+	if d.bytes > b.limits.Bytes || d.connections > b.limits.Connections {
+		return nil, false
+	}
+	evicted, ok = b.evictStalled(requester, d, now)
+	for !ok {
+		victim := b.newestOfLargest(requester, d)
+		if victim == requester {
+			return evicted, false
+		}
+		b.Close(victim)
+		evicted = append(evicted, victim)
+		ok = b.fits(d, 0, 0)
+	}
+	return evicted, true
+}
+
+// evictStalled closes stalled accounts, those without progress for longest first, until d
+// fits with some slack, and reports whether d fits.
+func (b *Budget) evictStalled(requester *Account, d demand, now time.Time) (evicted []*Account, ok bool) {
+	if b.fits(d, 0, 0) {
+		return nil, true
+	}
+	var stalled []*Account
+	for _, a := range b.accounts {
+		if a != requester && a.stalled(now) {
+			stalled = append(stalled, a)
+		}
+	}
+	slices.SortFunc(stalled, func(x, y *Account) int { return x.progress.Compare(y.progress) })
+	for _, a := range stalled {
+		if b.fits(d, b.limits.Bytes/evictionSlack, b.limits.Connections/evictionSlack) {
+			break
+		}
+		b.Close(a)
+		evicted = append(evicted, a)
+	}
+	return evicted, b.fits(d, 0, 0)
+}
+
+// stalled reports whether the caller has made no progress for longer than its phase allows.
+func (a *Account) stalled(now time.Time) bool {
+	switch a.phase {
+	case Running:
+		return false
+	case Idle:
+		return now.Sub(a.progress) > idleGrace
+	}
+	return now.Sub(a.progress) > activeGrace
+}
+
+// newestOfLargest returns the newest account of the holder that holds most, counting d for
+// the requester's holder. Accounts whose request is at a target come last. The result is the
+// requester if its holder is the largest and has no newer account to close.
+func (b *Budget) newestOfLargest(requester *Account, d demand) *Account {
+	byConnections := len(b.accounts)+d.connections > b.limits.Connections
+	largest := requester.holder
+	most := weight(largest, byConnections, d.bytes)
+	for _, h := range b.holders {
+		if w := weight(h, byConnections, 0); h != requester.holder && (w > most || w == most && h.name < largest.name && largest != requester.holder) {
+			largest, most = h, w
+		}
+	}
+	var victim *Account
+	for _, a := range b.accounts {
+		if a.holder == largest && a != requester && (victim == nil || a.newerThan(victim)) {
+			victim = a
+		}
+	}
+	if victim == nil || largest == requester.holder && (victim.phase == Running || victim.number < requester.number) {
+		return requester
+	}
+	return victim
+}
+
+// weight returns what h holds, in connections or in bytes, including an additional demand.
+// A requester is already counted in its holder's connections.
+func weight(h *holder, byConnections bool, demand int64) int64 {
+	if byConnections {
+		return int64(h.connections)
+	}
+	return h.bytes + demand
+}
+
+// newerThan reports whether a is closed before other if both have the same holder.
+func (a *Account) newerThan(other *Account) bool {
+	if (a.phase == Running) != (other.phase == Running) {
+		return other.phase == Running
+	}
+	return a.number > other.number
+}
--- a/node/command/admit.go
+++ b/node/command/admit.go
@@ -98,6 +98,9 @@
 	if present {
 		ex.workspace, _ = ex.snapshot.WorkspaceByKey(key)
 	}
+	if ex.workspace != nil {
+		ex.held.Assign(ex.workspace.ID)
+	}
 	if ex.route.Open {
 		return nil
 	}
--- a/node/command/answer.go
+++ b/node/command/answer.go
@@ -36,6 +36,7 @@
 	}
 	buf, done := prefixBuffer(resp)
 	defer done()
+	defer a.exchange.held.HoldResponse(int64(len(buf)))()
 	body, err := readAnswerPrefix(resp, buf)
 	a.targetTime += time.Since(a.writtenAt())
 	if err != nil && err != io.EOF {
@@ -229,6 +230,7 @@
 	}
 	ex.sendStatus(resp.StatusCode)
 	if len(body) > 0 {
+		ex.boundStreamWrite(http.NewResponseController(ex.w))
 		// countingWriter records a write error of a disconnected caller.
 		_, _ = ex.w.Write(body)
 	}
@@ -273,7 +275,7 @@
 		ex.announceTrailer(resp)
 	}
 	ex.sendStatus(resp.StatusCode)
-	toCaller, fromTarget := copyAnswer(ex.w, resp.Body, buf, n)
+	toCaller, fromTarget := ex.copyAnswer(resp.Body, buf, n)
 	if fromTarget == nil && toCaller == nil {
 		a.releaseCompleted(resp)
 		ex.sendTrailer(resp)
@@ -289,13 +291,14 @@
 	return a.truncatedFailure(fromTarget)
 }
 
-// copyAnswer writes the first n bytes of buf and then the rest of from to w, and flushes
-// after each write.
-func copyAnswer(w http.ResponseWriter, from io.Reader, buf []byte, n int) (toCaller, fromTarget error) {
-	control := http.NewResponseController(w)
+// copyAnswer writes the first n bytes of buf and then the rest of from to the caller, and
+// flushes after each write.
+func (ex *exchange) copyAnswer(from io.Reader, buf []byte, n int) (toCaller, fromTarget error) {
+	control := http.NewResponseController(ex.w)
 	for {
 		if n > 0 {
-			if _, err := w.Write(buf[:n]); err != nil {
+			ex.boundStreamWrite(control)
+			if _, err := ex.w.Write(buf[:n]); err != nil {
 				return err, nil
 			}
 			if err := control.Flush(); err != nil {
@@ -312,3 +315,18 @@
 	}
 	return nil, fromTarget
 }
+
+// boundStreamWrite bounds the wait for an HTTP/2 caller that reads nothing of its stream. The
+// connection itself bounds writes of HTTP/1.
+func (ex *exchange) boundStreamWrite(control *http.ResponseController) {
+	stall := ex.held.Stall()
+	if stall == 0 || ex.r.ProtoMajor == 1 {
+		return
+	}
+	deadline := ex.deadline.Add(writeGrace)
+	if at := time.Now().Add(stall); at.Before(deadline) {
+		deadline = at
+	}
+	// This call fails only on writers without a connection, as in tests.
+	_ = control.SetWriteDeadline(deadline)
+}
--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -174,8 +174,8 @@
 	announced := a.exchange.r.Trailer
 	if b.buffered && len(announced) == 0 {
 		if len(b.prefix) > 0 {
-			req.Body = io.NopCloser(bytes.NewReader(b.prefix))
-			req.ContentLength = int64(len(b.prefix))
+			req.Body = io.NopCloser(b.completeReader())
+			req.ContentLength = b.consumed
 		} else if replayedByTransport(req.Method) {
 			// A body without GetBody prevents silent replays by net/http. With the
 			// encoding "identity", net/http neither probes the empty body nor sends
--- a/node/command/body.go
+++ b/node/command/body.go
@@ -1,21 +1,25 @@
 package command
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/galenasail/galenasail/core/fault"
+	"github.com/galenasail/galenasail/node/limit"
 )
 
 const (
-	// prefixBytes is how much of each body is read before the request is forwarded.
-	// The prefix is part of the poison fingerprint; a body that fits into it can be
-	// sent again by a retry.
+	// prefixBytes is the part of each body that is part of the poison fingerprint. At least
+	// this part is read before the request is forwarded.
 	prefixBytes = 16 << 10
+	// segmentBytes is the size of the buffers for what follows the prefix.
+	segmentBytes = 64 << 10
 	// readGrace is how long after the request's deadline a blocked read of the
 	// caller's body fails. It is above 0 so that the request ends with a deadline
 	// error and not with a read error.
@@ -26,16 +30,20 @@
 	errBodyDetached = errors.New("read of the caller's body after its request has ended")
 	errBodyTaken    = errors.New("the rest of the caller's body belongs to another attempt")
 	errBodyTooLarge = errors.New("the body is larger than the route allows")
+	errBodyStalled  = errors.New("the caller sent no more of the body")
 )
 
-// callerBody is the body of a caller's request: a prefix in memory and the rest
-// still to be read from the caller's connection.
+// callerBody is the body of a caller's request: the part in memory, which retries can send
+// again, and the rest still to be read from the caller's connection.
 type callerBody struct {
 	prefix   []byte
-	buffered bool                     // prefix is the complete body
+	segments [][]byte                 // what follows the prefix in memory; all but the last are full
+	buffered bool                     // the complete body is in memory
 	length   int64                    // in bytes; -1 if unknown
 	limit    int64                    // maximum length in bytes
 	control  *http.ResponseController // nil if the request has no body
+	deadline time.Time                // of the request
+	held     *limit.Request           // nil without a bound
 
 	detached atomic.Bool
 	eof      atomic.Bool // source was read to its end
@@ -44,7 +52,7 @@
 
 	mu       sync.Mutex
 	consumed int64        // bytes read from source
-	begun    bool         // an attempt has begun to read what follows the prefix
+	begun    bool         // an attempt has begun to read what follows the part in memory
 	reader   *attemptBody // body of the newest attempt, the only one that may read from source
 	readErr  error        // error that ended source early
 }
@@ -52,7 +60,7 @@
 // readBody reads the prefix of the body. An error means that nothing was sent to a
 // target.
 func (ex *exchange) readBody() error {
-	b := &callerBody{source: ex.r.Body, length: ex.r.ContentLength, limit: ex.route.MaxBodyBytes}
+	b := &callerBody{source: ex.r.Body, length: ex.r.ContentLength, limit: ex.route.MaxBodyBytes, deadline: ex.deadline, held: ex.held}
 	ex.body = b
 	if ex.r.Body == nil || ex.r.Body == http.NoBody {
 		b.buffered = true
@@ -63,8 +71,8 @@
 	b.control = http.NewResponseController(ex.w)
 	// These calls fail only on writers without a connection, as in tests.
 	_ = b.control.EnableFullDuplex()
-	_ = b.control.SetReadDeadline(ex.deadline.Add(readGrace))
-	err := b.readPrefix()
+	b.boundRead()
+	err := b.readAhead()
 	ex.externalTime += time.Since(began)
 	if err != nil {
 		return ex.bodyError(err)
@@ -75,15 +83,38 @@
 	return nil
 }
 
-func (b *callerBody) readPrefix() error {
+// readAhead reads the body until its end or until the part that may be in memory is full.
+func (b *callerBody) readAhead() error {
+	bound := max(prefixBytes, b.held.BodyBuffer())
 	size := int64(prefixBytes)
-	if b.length >= 0 && b.length < size {
-		size = b.length
+	for {
+		err := b.readSegment(size)
+		if err != nil || b.buffered {
+			return err
+		}
+		size = min(segmentBytes, bound-b.consumed)
+		if size <= 0 || b.consumed == b.length {
+			return nil
+		}
+	}
+}
+
+// readSegment reads at most size bytes into memory and sets buffered at the end of the body.
+func (b *callerBody) readSegment(size int64) error {
+	if b.length >= 0 {
+		size = min(size, b.length-b.consumed)
+	}
+	if err := b.held.ChargeBody(size); err != nil {
+		return err
 	}
 	buf := make([]byte, size)
-	n, err := io.ReadFull(b.source, buf)
-	b.prefix = buf[:n]
-	b.consumed = int64(n)
+	n, err := io.ReadFull(boundedSource{b}, buf)
+	if b.prefix == nil {
+		b.prefix = buf[:n]
+	} else {
+		b.segments = append(b.segments, buf[:n])
+	}
+	b.consumed += int64(n)
 	if b.consumed > b.limit {
 		return errBodyTooLarge
 	}
@@ -97,16 +128,57 @@
 	}
 	if b.length >= 0 && b.length == b.consumed {
 		// Another read makes net/http parse the end of the body and any trailer.
-		_, err = b.source.Read(make([]byte, 1))
+		_, err = boundedSource{b}.Read(make([]byte, 1))
 		b.buffered = err == io.EOF
 	}
 	return nil
 }
 
+// boundRead sets the deadline of the next read: that of the request, or the time by which the
+// caller must have sent more.
+func (b *callerBody) boundRead() {
+	at := b.deadline.Add(readGrace)
+	if stall := b.held.Stall(); stall > 0 {
+		if next := time.Now().Add(stall); next.Before(at) {
+			at = next
+		}
+	}
+	// This call fails only on writers without a connection, as in tests.
+	_ = b.control.SetReadDeadline(at)
+}
+
+// stalled reports whether err ended a read because the caller sent nothing for the stall time.
+func (b *callerBody) stalled(err error) bool {
+	return b.held != nil && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(b.deadline) && !b.detached.Load()
+}
+
+// boundedSource reads from the caller's connection as long as the caller makes progress.
+type boundedSource struct{ body *callerBody }
+
+// Read implements io.Reader.
+func (s boundedSource) Read(p []byte) (int, error) {
+	b := s.body
+	if b.held == nil {
+		return b.source.Read(p)
+	}
+	b.boundRead()
+	b.held.AwaitBody(true)
+	n, err := b.source.Read(p)
+	b.held.AwaitBody(false)
+	if b.stalled(err) {
+		b.held.ReportStalledBody()
+		err = errBodyStalled
+	}
+	return n, err
+}
+
 // bodyError converts a read error on the caller's connection into the error that is
 // returned to the caller. Nothing was sent to a target yet.
 func (ex *exchange) bodyError(err error) error {
+	var refusal *fault.Error
 	switch {
+	case errors.As(err, &refusal):
+		return refusal
 	case errors.Is(err, errBodyTooLarge):
 		return fault.New(fault.TooLarge, "the body is larger than the %d bytes that the route allows", ex.route.MaxBodyBytes)
 	case !time.Now().Before(ex.deadline):
@@ -177,7 +249,7 @@
 	if err := b.beginRead(a); err != nil {
 		return 0, err
 	}
-	n, err := b.source.Read(p)
+	n, err := boundedSource{b}.Read(p)
 	return n, b.endRead(n, err)
 }
 
@@ -215,19 +287,44 @@
 	return err
 }
 
-// attemptBody reads the body for one attempt: first the prefix, then the rest. The
+// inMemory returns the bytes in memory from offset to the end of their buffer; none at the end
+// of the part in memory.
+func (b *callerBody) inMemory(offset int) []byte {
+	if offset < len(b.prefix) {
+		return b.prefix[offset:]
+	}
+	offset -= len(b.prefix)
+	if i := offset / segmentBytes; i < len(b.segments) {
+		return b.segments[i][offset%segmentBytes:]
+	}
+	return nil
+}
+
+// completeReader returns a reader of a body that is completely in memory.
+func (b *callerBody) completeReader() io.Reader {
+	if len(b.segments) == 0 {
+		return bytes.NewReader(b.prefix)
+	}
+	readers := []io.Reader{bytes.NewReader(b.prefix)}
+	for _, s := range b.segments {
+		readers = append(readers, bytes.NewReader(s))
+	}
+	return io.MultiReader(readers...)
+}
+
+// attemptBody reads the body for one attempt: first the part in memory, then the rest. The
 // request has no GetBody, so that net/http cannot rewind and resend the body.
 type attemptBody struct {
 	body   *callerBody
 	offset int
 	onEOF  func()
-	gap    bool // an earlier attempt has read bytes that follow the prefix
+	gap    bool // an earlier attempt has read bytes that follow the part in memory
 }
 
 // Read implements io.Reader. At the end of the body it calls onEOF.
 func (a *attemptBody) Read(p []byte) (int, error) {
-	if a.offset < len(a.body.prefix) {
-		n := copy(p, a.body.prefix[a.offset:])
+	if rest := a.body.inMemory(a.offset); len(rest) > 0 {
+		n := copy(p, rest)
 		a.offset += n
 		return n, nil
 	}
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -66,6 +66,9 @@
 	// ConnsPerTarget is the maximum number of connections to one target.
 	// Default: 7.
 	ConnsPerTarget int
+	// IdleTargetConns is the maximum number of idle connections to all targets, at most
+	// 4096. Default: 4096.
+	IdleTargetConns int
 	// Idempotency bounds the table of idempotency keys. Default: the defaults of
 	// idem.Limits.
 	Idempotency idem.Limits
@@ -112,6 +115,9 @@
 	if c.ConnsPerTarget <= 0 {
 		c.ConnsPerTarget = defaultConnsPerTarget
 	}
+	if c.IdleTargetConns <= 0 || c.IdleTargetConns > maxIdleConns {
+		c.IdleTargetConns = maxIdleConns
+	}
 	if c.Dialect == nil {
 		c.Dialect = wire.Native()
 	}
--- a/node/command/fail.go
+++ b/node/command/fail.go
@@ -21,6 +21,8 @@
 	}
 	ex.checkRefusal(e.Kind)
 	ex.h.cfg.Metrics.AddedLatency(time.Since(ex.start) - ex.externalTime)
+	// This call fails only on writers without a connection, as in tests.
+	_ = http.NewResponseController(ex.w).SetWriteDeadline(time.Now().Add(writeGrace))
 	ex.setConnectionClose()
 	if !ex.bodyLeftUnread() {
 		ex.h.cfg.Dialect.WriteError(ex.w, e, ex.id)
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -11,6 +11,7 @@
 	"github.com/galenasail/galenasail/core/document"
 	"github.com/galenasail/galenasail/core/fault"
 	"github.com/galenasail/galenasail/core/poison"
+	"github.com/galenasail/galenasail/node/limit"
 )
 
 // exchange is one request of a caller, its attempts and its answer.
@@ -47,8 +48,9 @@
 	ran            fault.Ran       // strongest statement over all attempts
 	externalTime   time.Duration   // time spent in targets and in reading the caller's body
 	statusSent     bool
-	tokenWait      time.Duration // wait for a token of the workspace's rate limit
-	permitWait     time.Duration // wait for permits of targets
+	tokenWait      time.Duration  // wait for a token of the workspace's rate limit
+	permitWait     time.Duration  // wait for permits of targets
+	held           *limit.Request // what is held for the request; nil without a bound
 }
 
 // ServeHTTP admits, forwards and answers one request.
@@ -63,7 +65,16 @@
 	if h.closeAfterAnswer.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := ex.serve(); err != nil {
+	held, err := limit.Begin(r)
+	if err == nil {
+		defer held.End()
+		ex.held = held
+		err = ex.serve()
+	}
+	if err != nil {
+		if held == nil && limit.Unanswerable(r) {
+			panic(http.ErrAbortHandler)
+		}
 		ex.fail(err)
 		return
 	}
--- a/node/command/readahead.go
+++ b/node/command/readahead.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"os"
 	"sync"
+	"time"
+
+	"github.com/galenasail/galenasail/node/limit"
 )
 
 // maxReadAhead bounds the bytes of pipelined requests that are read from one caller before
@@ -40,10 +43,20 @@
 	buf     []byte    // bytes that were read ahead
 	err     error     // why reading ahead ended; nil while it continues
 	reading bool      // readAhead runs
+	// deadline is the deadline for reads; zero for none.
+	deadline time.Time
+	// charge charges bytes that are read ahead; it reports whether there is room.
+	charge func(bytes int64) bool
+}
+
+// SetReadAheadCharge sets the function that charges bytes that are read ahead, and releases
+// them when their number is negative. It is called before the connection is used.
+func (c *readAheadConn) SetReadAheadCharge(charge func(bytes int64) bool) {
+	c.charge = charge
 }
 
 func newReadAheadConn(c net.Conn) *readAheadConn {
-	r := &readAheadConn{Conn: c}
+	r := &readAheadConn{Conn: c, charge: func(int64) bool { return true }}
 	r.closed, r.close = context.WithCancel(context.Background())
 	r.changed.L = &r.mu
 	return r
@@ -76,27 +89,45 @@
 	if len(c.buf) > 0 {
 		n = copy(p, c.buf)
 		c.buf = c.buf[n:]
+		c.charge(-int64(n))
 		return n, nil, true
 	}
 	if err = c.err; err == nil {
 		return 0, nil, false
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The deadline applied to this call of Read; later ones may have another.
+		// The deadline may have been replaced since; later calls of Read may have another.
 		c.err = nil
+		if c.deadline.IsZero() || time.Now().Before(c.deadline) {
+			return 0, nil, false
+		}
 	}
 	return 0, err, true
 }
 
+// SetReadDeadline sets the deadline for reads.
+func (c *readAheadConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadline = t
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline sets the deadlines for reads and writes.
+func (c *readAheadConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
 // readAhead reads until the buffer is full or reading fails.
 func (c *readAheadConn) readAhead() {
 	chunk := make([]byte, 4<<10)
 	for {
 		n, err := c.Conn.Read(chunk)
+		room := c.charge(int64(n))
 		c.mu.Lock()
 		c.buf = append(c.buf, chunk[:n]...)
 		c.err = err
-		c.reading = err == nil && len(c.buf) < maxReadAhead
+		c.reading = err == nil && room && len(c.buf) < maxReadAhead
 		more := c.reading
 		c.changed.Broadcast()
 		c.mu.Unlock()
@@ -124,18 +155,19 @@
 	return errors.ErrUnsupported
 }
 
-// connKey is the key of the caller's connection in the context of a request.
-type connKey struct{}
-
-// withConn is the ConnContext of the server of callers.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+// readAheadOf returns the readAheadConn that c is or wraps.
+func readAheadOf(c net.Conn) (own *readAheadConn, ok bool) {
+	if wrapper, wraps := c.(interface{ NetConn() net.Conn }); wraps {
+		c = wrapper.NetConn()
+	}
+	own, ok = c.(*readAheadConn)
+	return own, ok
 }
 
 // endWithConn returns r with a context that also ends when its caller closes the connection
 // behind pipelined requests, and a function that releases it.
 func endWithConn(r *http.Request) (*http.Request, context.CancelFunc) {
-	c, ok := r.Context().Value(connKey{}).(*readAheadConn)
+	c, ok := readAheadOf(limit.NetConn(r.Context()))
 	if !ok {
 		return r, func() {}
 	}
--- a/node/command/server.go
+++ b/node/command/server.go
@@ -12,6 +12,7 @@
 	"github.com/galenasail/galenasail/core/document"
 	"github.com/galenasail/galenasail/core/event"
 	"github.com/galenasail/galenasail/core/invariant"
+	"github.com/galenasail/galenasail/node/limit"
 	"github.com/galenasail/galenasail/node/wire"
 )
 
@@ -44,6 +45,8 @@
 	// Addresses serves GET /galenasail/v1/addresses. Default: the path is handled
 	// like any other.
 	Addresses http.Handler
+	// Guard bounds what is held for callers. Default: no bound.
+	Guard *limit.Guard
 	// ErrorLog receives the connection errors that net/http logs. Default: the
 	// standard logger.
 	ErrorLog *log.Logger
@@ -53,6 +56,7 @@
 type Server struct {
 	handler *Handler
 	http    *http.Server
+	guard   *limit.Guard
 }
 
 // NewServer returns a server; call Serve to accept connections.
@@ -60,8 +64,9 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Server{
+	s := &Server{
 		handler: cfg.Handler,
+		guard:   cfg.Guard,
 		http: &http.Server{
 			Handler:           newRootHandler(cfg),
 			ReadHeaderTimeout: readHeaderTimeout,
@@ -70,10 +75,14 @@
 			MaxHeaderBytes:    serverHeaderBytes,
 			Protocols:         protocols,
 			ErrorLog:          cfg.ErrorLog,
-			ConnContext:       withConn,
-			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+			ConnContext:       limit.WithConn,
+			HTTP2:             limit.HTTP2(maxStreams),
 		},
 	}
+	if cfg.Guard != nil {
+		cfg.Guard.Protect(s.http)
+	}
+	return s
 }
 
 // newRootHandler separates the fleet's own paths from the routes of callers. It
@@ -82,6 +91,8 @@
 func newRootHandler(cfg ServerConfig) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == wire.AddressesPath && cfg.Addresses != nil {
+			// This call fails only on writers without a connection, as in tests.
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
 			cfg.Addresses.ServeHTTP(w, r)
 			return
 		}
@@ -92,7 +103,11 @@
 // Serve accepts connections on l until Shutdown or Close is called, and then
 // returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(readAheadListener{l})
+	l = readAheadListener{l}
+	if s.guard != nil {
+		l = s.guard.Listener(l)
+	}
+	err := s.http.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/node/command/transport.go
+++ b/node/command/transport.go
@@ -30,7 +30,7 @@
 		Proxy:                  nil,
 		DialContext:            guardedDial(cfg.Dial),
 		DisableCompression:     true,
-		MaxIdleConns:           maxIdleConns,
+		MaxIdleConns:           cfg.IdleTargetConns,
 		MaxIdleConnsPerHost:    cfg.ConnsPerTarget,
 		MaxConnsPerHost:        cfg.ConnsPerTarget,
 		IdleConnTimeout:        idleConnTimeout,
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -14,6 +14,7 @@
 	"github.com/galenasail/galenasail/node/baseline"
 	"github.com/galenasail/galenasail/node/cell"
 	"github.com/galenasail/galenasail/node/command"
+	"github.com/galenasail/galenasail/node/limit"
 	"github.com/galenasail/galenasail/node/mirror"
 	"github.com/galenasail/galenasail/node/peer"
 	"github.com/galenasail/galenasail/node/platform"
@@ -28,6 +29,13 @@
 // send the request header too slowly.
 const adminHeaderTimeout = 5 * time.Second
 
+const (
+	// adminWriteTimeout bounds the time in which such a client reads its response.
+	adminWriteTimeout = 30 * time.Second
+	// adminIdleTimeout closes their idle connections.
+	adminIdleTimeout = time.Minute
+)
+
 // assemble creates the parts and connects them through their interfaces. The reader and
 // the cell depend on each other; closures resolve this by reading the fields of d when
 // they are called.
@@ -187,14 +195,15 @@
 func (d *Daemon) assembleServers() {
 	d.requestMetrics = newRequestMetrics(d.metrics.Scope)
 	cfg := command.Config{
-		Identity:    d.identity,
-		Configs:     d.reader,
-		Contact:     d.cell,
-		Limiter:     d.requestMetrics.countAdmitted(d.limiterPolicy()),
-		Picker:      d.pickerPolicy(),
-		PoisonMarks: d.cell,
-		Events:      d.recorder,
-		Metrics:     d.requestMetrics,
+		Identity:        d.identity,
+		Configs:         d.reader,
+		Contact:         d.cell,
+		Limiter:         d.requestMetrics.countAdmitted(d.limiterPolicy()),
+		Picker:          d.pickerPolicy(),
+		PoisonMarks:     d.cell,
+		IdleTargetConns: d.limits.idleTargetConns,
+		Events:          d.recorder,
+		Metrics:         d.requestMetrics,
 	}
 	if a := d.adapter; a != nil {
 		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(), adapterConnsPerTarget, adapterStartWait
@@ -203,16 +212,30 @@
 	d.holderAddresses = query.NewHolderAddresses(query.HolderAddressesConfig{Identity: d.identity, Configs: d.reader, Contact: d.cell, Ownership: d.cell})
 	d.callerServer = command.NewServer(command.ServerConfig{
 		Handler: d.handler,
+		Guard:   d.guards.callers,
 		Addresses: query.NewAddresses(query.AddressesConfig{
 			Identity: d.identity,
 			Configs:  d.reader,
 			Contact:  d.cell,
 		}),
 	})
-	d.adminServer = &http.Server{
-		Handler:           query.Admin{Events: d.recorder, State: d.state, Metrics: d.metrics.Handler}.Handler(),
+	d.adminServer = d.newAdminServer(query.Admin{Events: d.recorder, State: d.state, Metrics: d.metrics.Handler}.Handler())
+}
+
+// newAdminServer returns a server for operators, or for readiness checks and address queries
+// of the adapter.
+func (d *Daemon) newAdminServer(h http.Handler) *http.Server {
+	s := &http.Server{
+		Handler:           limit.Requests(h),
 		ReadHeaderTimeout: adminHeaderTimeout,
+		ReadTimeout:       adminHeaderTimeout,
+		WriteTimeout:      adminWriteTimeout,
+		IdleTimeout:       adminIdleTimeout,
+		MaxHeaderBytes:    command.MaxHeaderBytes,
+		ConnContext:       limit.WithConn,
 	}
+	d.guards.admin.Protect(s)
+	return s
 }
 
 // storeOutage returns how long, to this VM's knowledge, the store has answered no VM of
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -87,6 +87,8 @@
 	holderAddresses *query.HolderAddresses
 	leaving         atomic.Bool
 	extraServers    []*http.Server
+	limits          callerLimits
+	guards          guards
 }
 
 // New assembles a VM and binds the UDP port of its peer address. It returns an error when
@@ -112,6 +114,8 @@
 		Scope:       d.metrics.Scope,
 		OnViolation: onViolation(s, o),
 	})
+	d.limits = deriveLimits(s.CallerLimits, ResourcesOf(s))
+	d.guards = newGuards(d.limits, d.metrics.Scope, d.recorder)
 	d.system = duty.NewSystem(slog.New(logr.ToSlogHandler(o.Logger)), d.recorder)
 	d.udp, err = peer.NewUDP(peer.UDPConfig{
 		ID:        s.ID,
@@ -174,7 +178,7 @@
 	}
 	go d.serve("peers", d.peerServer.Serve)
 	go d.serve("callers", func() error { return d.callerServer.Serve(callers) })
-	go d.serve("admin", func() error { return d.adminServer.Serve(admin) })
+	go d.serve("admin", func() error { return d.adminServer.Serve(d.guards.admin.Listener(admin)) })
 	return nil
 }
 
@@ -188,9 +192,9 @@
 		if err != nil {
 			return trace.ConvertSystemError(err)
 		}
-		server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: adminHeaderTimeout}
+		server := d.newAdminServer(s.Handler)
 		d.extraServers = append(d.extraServers, server)
-		go d.serve(s.Name, func() error { return server.Serve(listener) })
+		go d.serve(s.Name, func() error { return server.Serve(d.guards.admin.Listener(listener)) })
 	}
 	return nil
 }
--- a/node/daemon/peers.go
+++ b/node/daemon/peers.go
@@ -49,6 +49,7 @@
 		Key:       []byte(d.settings.SharedKey),
 		Traffic:   d.traffic,
 		OnRefused: d.recordRefusedPeer,
+		Guard:     d.guards.peers,
 		Handlers: peer.Handlers{
 			FetchConfig:     d.reader.FetchConfig,
 			AcquireTokens:   d.limiter.AcquireTokens,
--- /dev/null
+++ b/node/limit/handler.go
@@ -0,0 +1,31 @@
+package limit
+
+import "net/http"
+
+// Requests returns a handler that charges each request before next serves it, and answers
+// 503 if there is no room.
+func Requests(next http.Handler) http.Handler {
+	return RequestsWithBody(next, 0)
+}
+
+// RequestsWithBody is like Requests and also charges the body of each request, which next
+// reads into memory: its length or, if that is unknown, maxBody.
+func RequestsWithBody(next http.Handler, maxBody int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held, err := Begin(r)
+		if err == nil {
+			defer held.End()
+			body := r.ContentLength
+			if body < 0 || body > maxBody {
+				body = maxBody
+			}
+			err = held.ChargeBody(body)
+		}
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/node/limit/request.go
@@ -0,0 +1,145 @@
+package limit
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is what is held for one request. A nil Request is not bounded. The methods may be
+// called by one goroutine at a time.
+type Request struct {
+	conn *Conn
+	held int64
+}
+
+// Begin charges the connection of r for the request and its header. The error states that
+// the request did not run. The request must be released with End.
+func Begin(r *http.Request) (*Request, error) {
+	c := find(NetConn(r.Context()))
+	if c == nil {
+		return nil, nil
+	}
+	need := requestBytes + max(0, requestCost(r)-headerAllowance)
+	if r.ProtoMajor == 1 {
+		// What was charged while the header was read covers the same header.
+		c.mu.Lock()
+		need -= min(c.headerHeld, need-requestBytes)
+		c.mu.Unlock()
+	}
+	if !c.guard.charge(c, need) {
+		return nil, c.guard.refuse(c, NoRequest)
+	}
+	return &Request{conn: c, held: need}, nil
+}
+
+// maxUnheldBytes is the largest header of an HTTP/2 request for which there is no room that
+// may stay in memory while the refusal is sent.
+const maxUnheldBytes = 64 << 10
+
+// Unanswerable reports whether the stream of an unbounded request must be reset: its caller
+// could keep a large header in memory by not reading the refusal.
+func Unanswerable(r *http.Request) bool {
+	return r.ProtoMajor > 1 && find(NetConn(r.Context())) != nil && requestCost(r) > maxUnheldBytes
+}
+
+// requestCost returns the memory that the header of r takes.
+func requestCost(r *http.Request) int64 {
+	text, fields := len(r.RequestURI), 0
+	for name, values := range r.Header {
+		fields += max(1, len(values))
+		for _, v := range values {
+			text += len(name) + len(v)
+		}
+	}
+	return headerCost(int64(text), int64(fields))
+}
+
+// End releases what is held for the request.
+func (q *Request) End() {
+	if q != nil {
+		q.conn.guard.release(q.conn, q.held)
+		q.held = 0
+	}
+}
+
+// Assign attributes the connection to a workspace.
+func (q *Request) Assign(workspace string) {
+	if q != nil {
+		q.conn.guard.assign(q.conn, "workspace "+workspace)
+	}
+}
+
+// ChargeBody charges bytes of a body that is about to be read into memory. The error states
+// that the request did not run.
+func (q *Request) ChargeBody(bytes int64) error {
+	if q == nil {
+		return nil
+	}
+	if !q.conn.guard.charge(q.conn, bytes) {
+		return q.conn.guard.refuse(q.conn, NoBody)
+	}
+	q.held += bytes
+	return nil
+}
+
+// HoldResponse counts a buffer for a response until the returned function is called. It
+// always succeeds, because the request has run.
+func (q *Request) HoldResponse(bytes int64) (release func()) {
+	if q == nil {
+		return func() {}
+	}
+	q.conn.guard.hold(q.conn, bytes)
+	return func() { q.conn.guard.release(q.conn, bytes) }
+}
+
+// AwaitBody records that the VM waits for more of the caller's body, or no longer does.
+func (q *Request) AwaitBody(waiting bool) {
+	if q == nil || q.conn.isHTTP2() {
+		return
+	}
+	q.conn.mu.Lock()
+	q.conn.awaiting = waiting
+	phase := q.conn.phaseWithoutHeader()
+	q.conn.mu.Unlock()
+	q.conn.guard.progress(q.conn, phase)
+}
+
+func (c *Conn) isHTTP2() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scan.http2
+}
+
+// Stall returns how long the caller may make no progress; 0 means without a bound.
+func (q *Request) Stall() time.Duration {
+	if q == nil {
+		return 0
+	}
+	return q.conn.guard.cfg.Stall
+}
+
+// BodyBuffer returns the largest part of a body to read before a target is chosen; 0 for a
+// request that is not bounded.
+func (q *Request) BodyBuffer() int64 {
+	if q == nil {
+		return 0
+	}
+	return q.conn.guard.cfg.BodyBuffer
+}
+
+// ReportStalledBody reports a body that made no progress.
+func (q *Request) ReportStalledBody() {
+	if q != nil {
+		q.conn.guard.cfg.OnRefused(BodyStalled, q.conn.address)
+	}
+}
+
+// chargeReadAhead charges the connection for bytes that are read before net/http asks for
+// them and reports whether there is room. A negative number releases them.
+func (c *Conn) chargeReadAhead(bytes int64) bool {
+	if bytes < 0 {
+		c.guard.release(c, -bytes)
+		return true
+	}
+	return c.guard.charge(c, bytes)
+}
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/galenasail/galenasail/core/fault"
+	"github.com/galenasail/galenasail/node/limit"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
 	"github.com/galenasail/galenasail/node/peer/peerv1/peerv1connect"
 )
@@ -26,6 +27,8 @@
 	// compressMinBytes keeps small responses uncompressed; they are frequent and
 	// compression would save little.
 	compressMinBytes = 4 << 10
+	// maxStreams is the maximum number of concurrent calls on one connection.
+	maxStreams = 250
 	// headerTimeout and bodyTimeout end requests whose client stops sending.
 	headerTimeout = 2 * time.Second
 	bodyTimeout   = 5 * time.Second
@@ -60,6 +63,8 @@
 	Handlers Handlers
 	// Traffic counts the bytes sent and received. Default: a new counter.
 	Traffic *Traffic
+	// Guard bounds what is held for calls. Default: no bound.
+	Guard *limit.Guard
 	// OnRefused is called for each refused call. It must not block. Default: none.
 	OnRefused RefusalHandler
 }
@@ -95,6 +100,9 @@
 		s.onRefused = func(string, error) {}
 	}
 	s.listener = countingListener{listener, s.traffic}
+	if cfg.Guard != nil {
+		s.listener = cfg.Guard.Listener(s.listener)
+	}
 	_, handler := peerv1connect.NewPeerServiceHandler(
 		service{cfg.Handlers},
 		connect.WithReadMaxBytes(maxRequestBytes),
@@ -104,12 +112,17 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	s.http = &http.Server{
-		Handler:           s.withAuth(handler),
+		Handler:           limit.RequestsWithBody(s.withAuth(handler), maxRequestBytes),
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    8 << 10,
+		ConnContext:       limit.WithConn,
+		HTTP2:             limit.HTTP2(maxStreams),
+	}
+	if cfg.Guard != nil {
+		cfg.Guard.Protect(s.http)
 	}
 	return s, nil
 }
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -73,8 +73,8 @@
 	// HeldMB is the memory for connections, headers, bodies and responses of callers, in
 	// megabytes. Default: half of the memory above 64 MB, at least an eighth of it.
 	HeldMB int `json:"heldMB,omitempty"`
-	// Connections is the maximum number of connections of callers. Default: half of the
-	// descriptors.
+	// Connections is the maximum number of connections of callers. Default: three
+	// eighths of the descriptors.
 	Connections int `json:"connections,omitempty"`
 	// BodyBufferKB is the largest part of a body that is read before a target is chosen,
 	// in kilobytes. Default: a thirty-second part of HeldMB, 64 to 8192.
