limit, command: pace floods of small requests, count pipelined headers; tests

A flood of small requests allocated faster than the collector ended a cycle: peak 107 to 143 MB of 96 with pipelined requests. A pacer delays requests while the heap is above the collector's goal near the memory limit, and the buffer for bytes read ahead is reused. Lines that net/http reads together with the previous request are counted, and a write is checked for progress in four steps, so that an unread response frees its slot within 3.75 s. galenasail example writes memoryMB 184.

--- a/cmd/galenasail/example.go
+++ b/cmd/galenasail/example.go
@@ -61,6 +61,9 @@
 	return c
 }
 
+// exampleMemoryMB is the memory of the smallest machine in the users' deployments.
+const exampleMemoryMB = 184
+
 // maxExampleVMs keeps the port ranges of the example from overlapping.
 const maxExampleVMs = 64
 
@@ -92,7 +95,8 @@
 		s := &settings.Settings{
 			ID: vm.ID, Address: vm.Address, PeerAddress: vm.PeerAddress, AdminAddress: ports.AdminAddress(i),
 			FailureDomain: vm.FailureDomain, PlatformURL: flags.platform, SharedKey: flags.sharedKey,
-			Seeds: []string{list.VMs[(i+1)%len(list.VMs)].PeerAddress},
+			Seeds:    []string{list.VMs[(i+1)%len(list.VMs)].PeerAddress},
+			MemoryMB: exampleMemoryMB,
 		}
 		if err := s.Check(); err != nil {
 			return trace.Wrap(err)
--- a/node/command/readahead.go
+++ b/node/command/readahead.go
@@ -40,9 +40,10 @@
 
 	mu      sync.Mutex
 	changed sync.Cond // of the fields below
-	buf     []byte    // bytes that were read ahead
-	err     error     // why reading ahead ended; nil while it continues
-	reading bool      // readAhead runs
+	buf     []byte    // holds the bytes that were read ahead from next on
+	next    int
+	err     error // why reading ahead ended; nil while it continues
+	reading bool  // readAhead runs
 	// deadline is the deadline for reads; zero for none.
 	deadline time.Time
 	// charge charges bytes that are read ahead; it reports whether there is room.
@@ -83,12 +84,12 @@
 func (c *readAheadConn) readBuffered(p []byte) (n int, err error, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.reading && len(c.buf) == 0 && c.err == nil {
+	for c.reading && c.next == len(c.buf) && c.err == nil {
 		c.changed.Wait()
 	}
-	if len(c.buf) > 0 {
-		n = copy(p, c.buf)
-		c.buf = c.buf[n:]
+	if c.next < len(c.buf) {
+		n = copy(p, c.buf[c.next:])
+		c.next += n
 		c.charge(-int64(n))
 		return n, nil, true
 	}
@@ -125,9 +126,9 @@
 		n, err := c.Conn.Read(chunk)
 		room := c.charge(int64(n))
 		c.mu.Lock()
-		c.buf = append(c.buf, chunk[:n]...)
+		c.store(chunk[:n])
 		c.err = err
-		c.reading = err == nil && room && len(c.buf) < maxReadAhead
+		c.reading = err == nil && room && len(c.buf)-c.next < maxReadAhead
 		more := c.reading
 		c.changed.Broadcast()
 		c.mu.Unlock()
@@ -140,6 +141,15 @@
 	}
 }
 
+// store adds p to the buffer, whose memory is used again. The caller holds mu.
+func (c *readAheadConn) store(p []byte) {
+	if len(c.buf)+len(p) > cap(c.buf) || c.next == len(c.buf) {
+		c.buf = c.buf[:copy(c.buf, c.buf[c.next:])]
+		c.next = 0
+	}
+	c.buf = append(c.buf, p...)
+}
+
 // Close closes the connection.
 func (c *readAheadConn) Close() error {
 	c.close()
--- a/node/command/server.go
+++ b/node/command/server.go
@@ -89,11 +89,15 @@
 // does not use http.ServeMux, which would redirect requests whose path is not in
 // canonical form.
 func newRootHandler(cfg ServerConfig) http.Handler {
+	var addresses http.Handler
+	if cfg.Addresses != nil {
+		addresses = limit.Requests(cfg.Addresses)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == wire.AddressesPath && cfg.Addresses != nil {
+		if r.URL.Path == wire.AddressesPath && addresses != nil {
 			// This call fails only on writers without a connection, as in tests.
 			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
-			cfg.Addresses.ServeHTTP(w, r)
+			addresses.ServeHTTP(w, r)
 			return
 		}
 		cfg.Handler.ServeHTTP(w, r)
--- a/node/limit/conn.go
+++ b/node/limit/conn.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -56,29 +57,60 @@
 // received counts bytes that were read into a buffer of the given size. It returns what must
 // be charged for the header and the new phase. The caller holds mu.
 func (c *Conn) received(p []byte, size int) (need int64, phase membudget.Phase) {
-	if c.idle {
-		c.idle = false
-		if size > 1 && size < serverBufferBytes {
-			c.scan.start(int64(serverBufferBytes - size))
-		}
+	c.deadlines = idleDeadlines
+	if c.scan.http2 {
+		return 0, c.phaseWithoutHeader()
+	}
+	if size >= serverBufferBytes {
+		c.uncounted = 0 // net/http reads this much only into an empty buffer
 	}
 	if !c.scan.active {
+		c.uncounted += int64(bytes.Count(p, newline))
 		return 0, c.phaseWithoutHeader()
 	}
-	wasHTTP2 := c.scan.http2
-	c.scan.feed(p)
-	if c.scan.http2 && !wasHTTP2 {
+	rest := c.scan.feed(p)
+	if c.scan.http2 {
 		return http2Bytes, membudget.Header
 	}
+	c.uncounted += int64(bytes.Count(rest, newline))
+	if c.scan.active {
+		return c.chargeHeader(), membudget.Header
+	}
+	return c.chargeHeader(), membudget.Running
+}
+
+var newline = []byte{'\n'}
+
+// chargeHeader returns what must be charged for the header so far. The caller holds mu.
+func (c *Conn) chargeHeader() (need int64) {
 	need = c.scan.cost() - headerAllowance - c.headerHeld
-	if need > 0 {
-		need += headerStep
-		c.headerHeld += need
+	if need <= 0 {
+		return 0
 	}
-	if c.scan.active {
-		return max(need, 0), membudget.Header
+	need += headerStep
+	c.headerHeld += need
+	return need
+}
+
+// idleDeadlines is the number of read deadlines that net/http sets for an idle connection: one
+// for the idle time and, once it has the first bytes of the next header, one for the header.
+const idleDeadlines = 2
+
+// SetReadDeadline sets the deadline for reads. When net/http sets that of a header before it
+// has read anything, its buffer holds bytes that were read with the previous request.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadlines++
+	var need int64
+	if c.deadlines == idleDeadlines && c.scan.active {
+		c.scan.lines, c.scan.bytes = c.uncounted, c.uncounted
+		need = c.chargeHeader()
+	}
+	c.mu.Unlock()
+	if need > 0 && !c.guard.charge(c, need) {
+		c.refuseHeader()
 	}
-	return max(need, 0), membudget.Running
+	return c.Conn.SetReadDeadline(t)
 }
 
 // refuseHeader answers a header for which there is no room and closes the connection.
@@ -113,8 +145,8 @@
 	c.mu.Lock()
 	held := c.headerHeld
 	c.headerHeld = 0
-	c.scan.start(0)
-	c.idle = true
+	c.scan.startNext()
+	c.deadlines = 0
 	c.active = false
 	c.mu.Unlock()
 	if held > 0 {
@@ -144,22 +176,29 @@
 func (c *Conn) Write(p []byte) (written int, err error) {
 	tracked := c.beginWrite()
 	defer c.endWrite(tracked)
-	for {
-		deadline := c.nextWriteDeadline()
-		_ = c.Conn.SetWriteDeadline(deadline)
+	for idleSteps := 0; ; idleSteps++ {
+		_ = c.Conn.SetWriteDeadline(c.nextWriteDeadline())
 		n, err := c.Conn.Write(p[written:])
 		written += n
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
-		if n == 0 || c.deadlinePassed() {
+		if n > 0 {
+			idleSteps = 0
+			if tracked {
+				c.guard.progress(c, membudget.Writing)
+			}
+		}
+		if idleSteps == stallSteps || c.deadlinePassed() {
 			c.guard.cfg.OnRefused(ResponseStalled, c.address)
 			return written, err
 		}
-		c.guard.progress(c, membudget.Writing)
 	}
 }
 
+// stallSteps is the number of steps in which the stall time of a write is checked for progress.
+const stallSteps = 4
+
 // beginWrite reports whether the phase of the connection is that of its only request.
 func (c *Conn) beginWrite() (tracked bool) {
 	c.mu.Lock()
@@ -186,11 +225,11 @@
 func (c *Conn) nextWriteDeadline() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	stall := time.Now().Add(c.guard.cfg.Stall)
-	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(stall) {
+	step := time.Now().Add(c.guard.cfg.Stall / stallSteps)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(step) {
 		return c.writeDeadline
 	}
-	return stall
+	return step
 }
 
 // deadlinePassed reports whether the deadline that net/http or the handler set has passed.
--- a/node/limit/guard.go
+++ b/node/limit/guard.go
@@ -74,7 +74,8 @@
 // Guard bounds what the connections of one or more servers hold together. It is safe for
 // concurrent use.
 type Guard struct {
-	cfg Config
+	cfg   Config
+	pacer *pacer
 
 	mu     sync.Mutex
 	budget *membudget.Budget
@@ -86,7 +87,7 @@
 	if cfg.OnRefused == nil {
 		cfg.OnRefused = func(Reason, string) {}
 	}
-	return &Guard{cfg: cfg, budget: membudget.New(cfg.Limits), conns: map[*membudget.Account]*Conn{}}
+	return &Guard{cfg: cfg, pacer: newPacer(), budget: membudget.New(cfg.Limits), conns: map[*membudget.Account]*Conn{}}
 }
 
 // Usage returns the bytes and the connections that are held.
--- a/node/limit/handler.go
+++ b/node/limit/handler.go
@@ -3,7 +3,7 @@
 import "net/http"
 
 // Requests returns a handler that charges each request before next serves it, and answers
-// 503 if there is no room.
+// 503 or resets an HTTP/2 stream if there is no room.
 func Requests(next http.Handler) http.Handler {
 	return RequestsWithBody(next, 0)
 }
@@ -22,6 +22,9 @@
 			err = held.ChargeBody(body)
 		}
 		if err != nil {
+			if held == nil && Unanswerable(r) {
+				panic(http.ErrAbortHandler)
+			}
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/node/limit/header.go
+++ b/node/limit/header.go
@@ -16,14 +16,14 @@
 // preface is the first line of an HTTP/2 connection.
 const preface = "PRI * HTTP/2.0"
 
-// minFieldBytes is the length of the shortest line of a header: a name, a colon and CRLF.
-const minFieldBytes = 4
+// startFirst starts the first header of a connection.
+func (s *headerScan) startFirst() {
+	*s = headerScan{active: true, isFirst: true}
+}
 
-// start starts a header of which net/http has already read some bytes with other data. Their
-// lines are not known, so the largest possible number is counted.
-func (s *headerScan) start(alreadyRead int64) {
-	*s = headerScan{active: !s.http2, http2: s.http2, isFirst: s.bytes == 0 && s.lines == 0 && alreadyRead == 0}
-	s.bytes, s.lines = alreadyRead, alreadyRead/minFieldBytes
+// startNext starts a further header.
+func (s *headerScan) startNext() {
+	*s = headerScan{active: !s.http2, http2: s.http2}
 }
 
 // cost returns the memory that the header takes.
@@ -35,8 +35,8 @@
 	return text*textFactor + fields*fieldBytes
 }
 
-// feed counts the next bytes until the end of the header.
-func (s *headerScan) feed(p []byte) {
+// feed counts the next bytes until the end of the header and returns those that follow it.
+func (s *headerScan) feed(p []byte) (rest []byte) {
 	for len(p) > 0 && s.active {
 		line, rest, complete := bytes.Cut(p, []byte{'\n'})
 		s.bytes += int64(len(p) - len(rest))
@@ -49,6 +49,7 @@
 		}
 		p = rest
 	}
+	return p
 }
 
 func (s *headerScan) endLine() {
--- a/node/limit/listener.go
+++ b/node/limit/listener.go
@@ -29,7 +29,7 @@
 			return nil, err
 		}
 		c := &Conn{Conn: inner, guard: l.guard, address: hostOf(inner)}
-		c.scan.start(0)
+		c.scan.startFirst()
 		if l.guard.open(c) {
 			if a, ok := inner.(readAheader); ok {
 				a.SetReadAheadCharge(c.chargeReadAhead)
@@ -65,11 +65,16 @@
 	// closed is set by the first Close.
 	closed atomic.Bool
 
-	mu         sync.Mutex
-	scan       headerScan
-	active     bool  // a request is being served
-	awaiting   bool  // the VM waits for more of the body of the only request
-	idle       bool  // no byte was read since the connection became idle
+	mu       sync.Mutex
+	scan     headerScan
+	active   bool // a request is being served
+	awaiting bool // the VM waits for more of the body of the only request
+	// uncounted is the number of lines that net/http may have in its buffer and that belong to
+	// no counted header.
+	uncounted int64
+	// deadlines is the number of read deadlines that were set since the connection became idle
+	// and before the next read.
+	deadlines  int
 	headerHeld int64 // charged for the header in progress
 	// writeDeadline is the deadline that net/http or the handler set.
 	writeDeadline time.Time
--- a/node/limit/request.go
+++ b/node/limit/request.go
@@ -19,6 +19,7 @@
 	if c == nil {
 		return nil, nil
 	}
+	c.guard.pacer.wait()
 	need := requestBytes + max(0, requestCost(r)-headerAllowance)
 	if r.ProtoMajor == 1 {
 		// What was charged while the header was read covers the same header.
