--- a/cmd/flood/testbed_test.go
+++ b/cmd/flood/testbed_test.go
@@ -210,7 +210,11 @@
 // usage returns the peak of the resident memory of the first VM, in megabytes, and its open
 // descriptors. ok is false when its process has exited.
 func (tb *testbed) usage() (peakMB, descriptors int, ok bool) {
-	dir := fmt.Sprintf("/proc/%d", tb.vms[0].Process.Pid)
+	return usageOf(tb.vms[0].Process.Pid)
+}
+
+func usageOf(pid int) (peakMB, descriptors int, ok bool) {
+	dir := fmt.Sprintf("/proc/%d", pid)
 	status, err := os.ReadFile(dir + "/status")
 	open, dirErr := os.ReadDir(dir + "/fd")
 	_, text, found := strings.Cut(string(status), "VmHWM:")
--- a/cmd/galenasail/example_test.go
+++ b/cmd/galenasail/example_test.go
@@ -26,8 +26,12 @@
 			t.Fatalf("got %d settings files, want 48; error %v", len(files), err)
 		}
 		for _, file := range files {
-			if _, err := settings.Load(file); err != nil {
-				t.Error(err)
+			s, err := settings.Load(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s.MemoryMB != exampleMemoryMB {
+				t.Errorf("%s: memoryMB %d, want %d", file, s.MemoryMB, exampleMemoryMB)
 			}
 		}
 		checkExampleDocuments(t, dir)
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -22,6 +22,7 @@
 	bad := map[string]any{
 		"id": "", "address": "localhost:1", "peerAddress": "127.0.0.1", "adminAddress": "127.0.0.1:notaport",
 		"failureDomain": "", "platformURL": "ftp://x", "sharedKey": "short", "seeds": []string{"x"}, "unknown": 1,
+		"maxDescriptors": -1, "callerLimits": map[string]int{"stallMs": -1}, "memoryMB": -1,
 	}
 	for field, value := range bad {
 		s := valid()
