command, limit: set deadlines less often; the caller path costs what it did

Each read of a body and each write set a deadline near enough to wake a thread of the runtime, which made POST requests 11% slower. A deadline that is still recent is kept now. A read of a body that sets its deadline after detach ended reads fails at once.

The benchmark now includes a guard.

--- a/node/command/bench_test.go
+++ b/node/command/bench_test.go
@@ -11,6 +11,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/galenasail/galenasail/core/membudget"
+	"github.com/galenasail/galenasail/node/limit"
 )
 
 // startBenchProxy starts a target with handler h and a server in front of it. Its fakes
@@ -21,7 +24,8 @@
 	f := &harness{}
 	f.snapshot.Store(buildSnapshot(b, testKey, target.Listener.Addr().String()))
 	handler := New(Config{Configs: f, Contact: f, Limiter: f, Picker: f, PoisonMarks: f, Events: f})
-	server := NewServer(ServerConfig{Handler: handler})
+	guard := limit.New(limit.Config{Limits: membudget.Limits{Bytes: 64 << 20, Connections: 1000}, Stall: time.Second, BodyBuffer: 1 << 20})
+	server := NewServer(ServerConfig{Handler: handler, Guard: guard})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
--- a/node/command/body.go
+++ b/node/command/body.go
@@ -43,6 +43,7 @@
 	limit    int64                    // maximum length in bytes
 	control  *http.ResponseController // nil if the request has no body
 	deadline time.Time                // of the request
+	readTill time.Time                // deadline that is set for reads
 	held     *limit.Request           // nil without a bound
 
 	detached atomic.Bool
@@ -72,7 +73,9 @@
 	// These calls fail only on writers without a connection, as in tests.
 	_ = b.control.EnableFullDuplex()
 	b.boundRead()
+	b.held.AwaitBody(true)
 	err := b.readAhead()
+	b.held.AwaitBody(false)
 	ex.externalTime += time.Since(began)
 	if err != nil {
 		return ex.bodyError(err)
@@ -135,14 +138,20 @@
 }
 
 // boundRead sets the deadline of the next read: that of the request, or the time by which the
-// caller must have sent more.
+// caller must have sent more. A deadline that was set less than a quarter of the stall time
+// ago is kept, because setting it wakes a thread of the runtime.
 func (b *callerBody) boundRead() {
 	at := b.deadline.Add(readGrace)
 	if stall := b.held.Stall(); stall > 0 {
-		if next := time.Now().Add(stall); next.Before(at) {
+		next := time.Now().Add(stall)
+		if next.Sub(b.readTill) < stall/4 {
+			return
+		}
+		if next.Before(at) {
 			at = next
 		}
 	}
+	b.readTill = at
 	// This call fails only on writers without a connection, as in tests.
 	_ = b.control.SetReadDeadline(at)
 }
@@ -162,9 +171,11 @@
 		return b.source.Read(p)
 	}
 	b.boundRead()
-	b.held.AwaitBody(true)
+	if b.detached.Load() {
+		// The deadline set here may have replaced the one with which detach ends a read.
+		return 0, errBodyDetached
+	}
 	n, err := b.source.Read(p)
-	b.held.AwaitBody(false)
 	if b.stalled(err) {
 		b.held.ReportStalledBody()
 		err = errBodyStalled
@@ -249,7 +260,9 @@
 	if err := b.beginRead(a); err != nil {
 		return 0, err
 	}
+	b.held.AwaitBody(true)
 	n, err := boundedSource{b}.Read(p)
+	b.held.AwaitBody(false)
 	return n, b.endRead(n, err)
 }
 
--- a/node/command/limits_test.go
+++ b/node/command/limits_test.go
@@ -15,15 +15,16 @@
 	"github.com/galenasail/galenasail/node/limit"
 )
 
-// bound replaces the server of the harness by one with a guard.
+// bound starts a second server with a guard and directs the caller to it.
 func (f *harness) bound(cfg limit.Config) *limit.Guard {
 	guard := limit.New(cfg)
-	f.server = NewServer(ServerConfig{Handler: f.handler, Guard: guard})
+	server := NewServer(ServerConfig{Handler: f.handler, Guard: guard})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	go func() { _ = f.server.Serve(l) }()
+	go func() { _ = server.Serve(l) }()
+	f.t.Cleanup(server.Close)
 	f.url = "http://" + l.Addr().String()
 	return guard
 }
--- a/node/limit/conn.go
+++ b/node/limit/conn.go
@@ -161,10 +161,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeDeadline = t
-	if c.writing {
-		return c.Conn.SetWriteDeadline(t)
+	if !c.writing {
+		return nil
 	}
-	return nil
+	c.armed = t
+	return c.Conn.SetWriteDeadline(t)
 }
 
 // SetDeadline sets the deadlines for reads and writes.
@@ -177,7 +178,7 @@
 	tracked := c.beginWrite()
 	defer c.endWrite(tracked)
 	for idleSteps := 0; ; idleSteps++ {
-		_ = c.Conn.SetWriteDeadline(c.nextWriteDeadline())
+		c.armWriteDeadline()
 		n, err := c.Conn.Write(p[written:])
 		written += n
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -221,15 +222,22 @@
 	}
 }
 
-// nextWriteDeadline returns the deadline of the next write to the system.
-func (c *Conn) nextWriteDeadline() time.Time {
+// armWriteDeadline sets the deadline of the next write to the system. One that was set less than
+// half a step ago is kept, because setting it wakes a thread of the runtime.
+func (c *Conn) armWriteDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	step := time.Now().Add(c.guard.cfg.Stall / stallSteps)
-	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(step) {
-		return c.writeDeadline
+	step := c.guard.cfg.Stall / stallSteps
+	at := time.Now().Add(step)
+	explicit := !c.writeDeadline.IsZero() && c.writeDeadline.Before(at)
+	if explicit {
+		at = c.writeDeadline
+	}
+	if explicit || at.Sub(c.armed) > step/2 || c.armed.After(at) {
+		c.armed = at
+		// An error means that the connection is closed, which the write reports.
+		_ = c.Conn.SetWriteDeadline(at)
 	}
-	return step
 }
 
 // deadlinePassed reports whether the deadline that net/http or the handler set has passed.
--- a/node/limit/listener.go
+++ b/node/limit/listener.go
@@ -79,6 +79,8 @@
 	// writeDeadline is the deadline that net/http or the handler set.
 	writeDeadline time.Time
 	writing       bool
+	// armed is the write deadline that is set on the connection below.
+	armed time.Time
 }
 
 // connKey is the key of the connection in the context of a request.
