limit, command: a refused header gets the dialect's refusal, which states "not run"

The response to a header without room was a bare 503, which callers take for the answer of a target. It is the error response of the dialect now.

--- a/node/command/limits_test.go
+++ b/node/command/limits_test.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -194,3 +196,16 @@
 		t.Errorf("read %q, error %v", p[:n], err)
 	}
 }
+
+// Guards against a refusal of an unread header that callers take for the answer of a target.
+func TestRefusalOfAHeaderStatesNotRun(t *testing.T) {
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(RefusalResponse(nil))), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &harness{t: t}
+	f.wantKind(receive(resp, nil), fault.Overloaded)
+	if !resp.Close {
+		t.Error("the refusal does not close the connection")
+	}
+}
--- a/node/daemon/adapter.go
+++ b/node/daemon/adapter.go
@@ -115,3 +115,11 @@
 	}
 	return adapterTokenWait
 }
+
+// dialect returns the dialect of the adapter; nil selects the default.
+func (d *Daemon) dialect() *wire.Dialect {
+	if d.adapter == nil {
+		return nil
+	}
+	return d.adapter.Dialect
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -115,7 +115,7 @@
 		OnViolation: onViolation(s, o),
 	})
 	d.limits = deriveLimits(s.CallerLimits, ResourcesOf(s))
-	d.guards = newGuards(d.limits, d.metrics.Scope, d.recorder)
+	d.guards = newGuards(d.limits, command.RefusalResponse(d.dialect()), d.metrics.Scope, d.recorder)
 	d.system = duty.NewSystem(slog.New(logr.ToSlogHandler(o.Logger)), d.recorder)
 	d.udp, err = peer.NewUDP(peer.UDPConfig{
 		ID:        s.ID,
--- a/node/daemon/limits.go
+++ b/node/daemon/limits.go
@@ -141,11 +141,11 @@
 	callers, admin, peers *limit.Guard
 }
 
-// newGuards returns the guards with the given limits.
-func newGuards(l callerLimits, scope tally.Scope, events node.Events) guards {
+// newGuards returns the guards with the given limits and response to refused headers.
+func newGuards(l callerLimits, refusal []byte, scope tally.Scope, events node.Events) guards {
 	guard := func(listener string, limits membudget.Limits) *limit.Guard {
 		return limit.New(limit.Config{
-			Limits: limits, Stall: l.stall, BodyBuffer: l.bodyBuffer,
+			Limits: limits, Stall: l.stall, BodyBuffer: l.bodyBuffer, Refusal: refusal,
 			OnRefused: newRefusalRecorder(listener, scope, events).record,
 		})
 	}
--- a/node/limit/conn.go
+++ b/node/limit/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -19,7 +18,7 @@
 	http2Bytes = 256 << 10
 	// refusalTimeout bounds the write of the response to a refused header.
 	refusalTimeout = 100 * time.Millisecond
-	// refusalResponse is sent when there is no room for a header. The request did not run.
+	// refusalResponse is the default of Config.Refusal.
 	refusalResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n"
 )
 
@@ -118,7 +117,7 @@
 	_ = c.guard.refuse(c, NoHeader)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	// The caller may not read the response; the connection is closed anyway.
-	_, _ = io.WriteString(c.Conn, refusalResponse)
+	_, _ = c.Conn.Write(c.guard.cfg.Refusal)
 	_ = c.Close()
 }
 
--- a/node/limit/guard.go
+++ b/node/limit/guard.go
@@ -66,6 +66,9 @@
 	// BodyBuffer is the largest part of a body that is read before a target is chosen, in
 	// bytes.
 	BodyBuffer int64
+	// Refusal is the HTTP/1.1 response to a header for which there is no room. Default: 503
+	// without a body.
+	Refusal []byte
 	// OnRefused is called for each refusal with the caller's address. It must not block.
 	// Default: none.
 	OnRefused func(reason Reason, address string)
@@ -87,6 +90,9 @@
 	if cfg.OnRefused == nil {
 		cfg.OnRefused = func(Reason, string) {}
 	}
+	if cfg.Refusal == nil {
+		cfg.Refusal = []byte(refusalResponse)
+	}
 	return &Guard{cfg: cfg, pacer: newPacer(), budget: membudget.New(cfg.Limits), conns: map[*membudget.Account]*Conn{}}
 }
 
