--- a/core/target/holder.go
+++ b/core/target/holder.go
@@ -39,6 +39,9 @@
 	// report the slots that it would grant as free. It affects only placement by health
 	// estimates. Default: false.
 	Anticipate bool
+	// OverloadControl weighs sheds against those of the other targets. It applies to
+	// services with placement by health estimates.
+	OverloadControl bool
 	// Defect injects a deliberate fault into a randomised test run. Default: none.
 	Defect Defect
 }
@@ -84,6 +87,9 @@
 	retryBudget  FleetRetryBudget
 	repeats      repeatCounter
 	failures     failureCounter
+	// overloadControl is Config.OverloadControl; shedding is set by UpdateShedding.
+	overloadControl bool
+	shedding        bool
 	// lastSeen is when each VM last called.
 	lastSeen map[string]time.Time
 	takeover takeover
@@ -135,27 +141,29 @@
 	health  healthEstimate
 	// capacity is learned only with Config.Anticipate.
 	capacity capacity
+	sheds    shedCounter
 }
 
 // NewHolder returns the state of a new lease. It issues no permits before Tick has
 // ended the takeover.
 func NewHolder(c Config, now time.Time) *Holder {
 	h := &Holder{
-		view:         c.View,
-		members:      c.Members,
-		emit:         c.Emit,
-		defect:       c.Defect,
-		retryBudget:  c.RetryBudget,
-		permits:      map[permitKey]*permit{},
-		ended:        map[permitKey]time.Time{},
-		lastID:       c.FirstPermit,
-		lastSeen:     map[string]time.Time{},
-		answerTimes:  map[string]*latencyHistogram{},
-		anticipate:   c.Anticipate,
-		references:   map[string]*reference{},
-		partialSheds: newFailureCounter(),
-		repeats:      newRepeatCounter(),
-		failures:     newFailureCounter(),
+		view:            c.View,
+		members:         c.Members,
+		emit:            c.Emit,
+		defect:          c.Defect,
+		retryBudget:     c.RetryBudget,
+		permits:         map[permitKey]*permit{},
+		ended:           map[permitKey]time.Time{},
+		lastID:          c.FirstPermit,
+		lastSeen:        map[string]time.Time{},
+		answerTimes:     map[string]*latencyHistogram{},
+		anticipate:      c.Anticipate,
+		references:      map[string]*reference{},
+		partialSheds:    newFailureCounter(),
+		repeats:         newRepeatCounter(),
+		failures:        newFailureCounter(),
+		overloadControl: c.OverloadControl,
 	}
 	if h.emit == nil {
 		h.emit = func(Event) {}
@@ -170,7 +178,7 @@
 }
 
 func (h *Holder) newState(doc document.Target, now time.Time) *state {
-	s := &state{doc: doc, open: IsOpen(doc, h.view.OutDomains), paths: map[string]*path{}, running: map[permitKey]*permit{}}
+	s := &state{doc: doc, open: IsOpen(doc, h.view.OutDomains), paths: map[string]*path{}, running: map[permitKey]*permit{}, sheds: newShedCounter()}
 	s.health.setColdUntil(doc, now)
 	if h.placesByHealth() {
 		return s
--- a/node/command/admit.go
+++ b/node/command/admit.go
@@ -98,6 +98,9 @@
 	if present {
 		ex.workspace, _ = ex.snapshot.WorkspaceByKey(key)
 	}
+	if ex.workspace != nil {
+		ex.held.Assign(ex.workspace.ID)
+	}
 	if ex.route.Open {
 		return nil
 	}
@@ -129,6 +132,9 @@
 		limit = min(limit, requested)
 	}
 	ex.deadline = ex.start.Add(limit)
+	if ex.h.cfg.OverloadControl {
+		ex.returnedAfter = ex.h.returns.elapsed(ex.route.ID, limit, ex.start)
+	}
 	return nil
 }
 
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -11,6 +11,7 @@
 	"github.com/galenasail/galenasail/core/document"
 	"github.com/galenasail/galenasail/core/fault"
 	"github.com/galenasail/galenasail/core/poison"
+	"github.com/galenasail/galenasail/node/limit"
 )
 
 // exchange is one request of a caller, its attempts and its answer.
@@ -30,7 +31,10 @@
 	query     string      // sent to targets, without the key
 	ctx       context.Context
 	deadline  time.Time
-	body      *callerBody
+	// returnedAfter is the time since the caller first sent the request, as far as the
+	// deadline shows; 0 without overload control.
+	returnedAfter time.Duration
+	body          *callerBody
 	// fingerprint identifies the request in the quarantine table.
 	fingerprint    uint64
 	idempotencyKey string // text of the idempotency key; empty if the caller sent none
@@ -47,8 +51,9 @@
 	ran            fault.Ran       // strongest statement over all attempts
 	externalTime   time.Duration   // time spent in targets and in reading the caller's body
 	statusSent     bool
-	tokenWait      time.Duration // wait for a token of the workspace's rate limit
-	permitWait     time.Duration // wait for permits of targets
+	tokenWait      time.Duration  // wait for a token of the workspace's rate limit
+	permitWait     time.Duration  // wait for permits of targets
+	held           *limit.Request // what is held for the request; nil without a bound
 }
 
 // ServeHTTP admits, forwards and answers one request.
@@ -63,11 +68,20 @@
 	if h.closeAfterAnswer.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	err := ex.serve()
+	defer ex.recoverPanic()
+	held, err := limit.Begin(r)
+	if err == nil {
+		defer held.End()
+		ex.held = held
+		err = ex.serve()
+	}
 	if ex.service != nil {
 		h.outcomes.record(ex.service.Name, err == nil && out.status < http.StatusInternalServerError, time.Now())
 	}
 	if err != nil {
+		if held == nil && limit.Unanswerable(r) {
+			panic(http.ErrAbortHandler)
+		}
 		ex.fail(err)
 		return
 	}
--- a/node/command/readahead.go
+++ b/node/command/readahead.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"os"
 	"sync"
+	"time"
+
+	"github.com/galenasail/galenasail/node/limit"
 )
 
 // maxReadAhead bounds the bytes of pipelined requests that are read from one caller before
@@ -37,13 +40,24 @@
 
 	mu      sync.Mutex
 	changed sync.Cond // of the fields below
-	buf     []byte    // bytes that were read ahead
-	err     error     // why reading ahead ended; nil while it continues
-	reading bool      // readAhead runs
+	buf     []byte    // holds the bytes that were read ahead from next on
+	next    int
+	err     error // why reading ahead ended; nil while it continues
+	reading bool  // readAhead runs
+	// deadline is the deadline for reads; zero for none.
+	deadline time.Time
+	// charge charges bytes that are read ahead; it reports whether there is room.
+	charge func(bytes int64) bool
+}
+
+// SetReadAheadCharge sets the function that charges bytes that are read ahead, and releases
+// them when their number is negative. It is called before the connection is used.
+func (c *readAheadConn) SetReadAheadCharge(charge func(bytes int64) bool) {
+	c.charge = charge
 }
 
 func newReadAheadConn(c net.Conn) *readAheadConn {
-	r := &readAheadConn{Conn: c}
+	r := &readAheadConn{Conn: c, charge: func(int64) bool { return true }}
 	r.closed, r.close = context.WithCancel(context.Background())
 	r.changed.L = &r.mu
 	return r
@@ -70,33 +84,51 @@
 func (c *readAheadConn) readBuffered(p []byte) (n int, err error, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.reading && len(c.buf) == 0 && c.err == nil {
+	for c.reading && c.next == len(c.buf) && c.err == nil {
 		c.changed.Wait()
 	}
-	if len(c.buf) > 0 {
-		n = copy(p, c.buf)
-		c.buf = c.buf[n:]
+	if c.next < len(c.buf) {
+		n = copy(p, c.buf[c.next:])
+		c.next += n
+		c.charge(-int64(n))
 		return n, nil, true
 	}
 	if err = c.err; err == nil {
 		return 0, nil, false
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The deadline applied to this call of Read; later ones may have another.
+		// The deadline may have been replaced since; later calls of Read may have another.
 		c.err = nil
+		if c.deadline.IsZero() || time.Now().Before(c.deadline) {
+			return 0, nil, false
+		}
 	}
 	return 0, err, true
 }
 
+// SetReadDeadline sets the deadline for reads.
+func (c *readAheadConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadline = t
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline sets the deadlines for reads and writes.
+func (c *readAheadConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
 // readAhead reads until the buffer is full or reading fails.
 func (c *readAheadConn) readAhead() {
 	chunk := make([]byte, 4<<10)
 	for {
 		n, err := c.Conn.Read(chunk)
+		room := c.charge(int64(n))
 		c.mu.Lock()
-		c.buf = append(c.buf, chunk[:n]...)
+		c.store(chunk[:n])
 		c.err = err
-		c.reading = err == nil && len(c.buf) < maxReadAhead
+		c.reading = err == nil && room && len(c.buf)-c.next < maxReadAhead
 		more := c.reading
 		c.changed.Broadcast()
 		c.mu.Unlock()
@@ -109,6 +141,15 @@
 	}
 }
 
+// store adds p to the buffer, whose memory is used again. The caller holds mu.
+func (c *readAheadConn) store(p []byte) {
+	if len(c.buf)+len(p) > cap(c.buf) || c.next == len(c.buf) {
+		c.buf = c.buf[:copy(c.buf, c.buf[c.next:])]
+		c.next = 0
+	}
+	c.buf = append(c.buf, p...)
+}
+
 // Close closes the connection.
 func (c *readAheadConn) Close() error {
 	c.close()
@@ -124,18 +165,19 @@
 	return errors.ErrUnsupported
 }
 
-// connKey is the key of the caller's connection in the context of a request.
-type connKey struct{}
-
-// withConn is the ConnContext of the server of callers.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+// readAheadOf returns the readAheadConn that c is or wraps.
+func readAheadOf(c net.Conn) (own *readAheadConn, ok bool) {
+	if wrapper, wraps := c.(interface{ NetConn() net.Conn }); wraps {
+		c = wrapper.NetConn()
+	}
+	own, ok = c.(*readAheadConn)
+	return own, ok
 }
 
 // endWithConn returns r with a context that also ends when its caller closes the connection
 // behind pipelined requests, and a function that releases it.
 func endWithConn(r *http.Request) (*http.Request, context.CancelFunc) {
-	c, ok := r.Context().Value(connKey{}).(*readAheadConn)
+	c, ok := readAheadOf(limit.NetConn(r.Context()))
 	if !ok {
 		return r, func() {}
 	}
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -24,9 +24,11 @@
 	caller  target.Caller
 	acquire target.AcquireRequest
 	// due is when the request should have a slot.
-	due   time.Time
-	state atomic.Int32
-	reply chan *peerv1.ExchangePermitsResponse
+	due time.Time
+	// arrivedAt is when the request arrived at the holder.
+	arrivedAt time.Time
+	state     atomic.Int32
+	reply     chan *peerv1.ExchangePermitsResponse
 }
 
 // The states of a waiter.
@@ -93,9 +95,7 @@
 }
 
 // enqueue adds an acquire to the queue of the group and serves the queue. It
-// refuses an acquire that is not admitted. With AnticipateLoad, one without a wait is
-// always admitted: Admission refuses it even when slots are free, and counts a refused
-// request although the caller goes on to another group.
+// refuses an acquire that is not admitted.
 func (h *holderActor) enqueue(g *heldGroup, e exchangeCall, now time.Time) {
 	a := e.request.Acquire
 	e.waiter.acquire = target.AcquireRequest{
@@ -110,25 +110,15 @@
 		Domain:     a.Domain,
 		Failing:    a.Failing,
 	}
-	deadline := now.Add(fromMillis(a.WaitMs))
-	due := now.Add(fromMillis(a.PatienceMs))
-	e.waiter.due = due
-	if g.byHealthEstimate() {
-		var expected time.Duration
-		admitted := true
-		if a.WaitMs > 0 || !h.pool.config.AnticipateLoad {
-			deadline, expected, admitted = g.admit(a, due, now)
-		}
-		if a.Repeat && !g.holder.MayRepeat(now) || !admitted {
-			e.waiter.finish(h.refuse(g, e.waiter, expected, now))
-			return
-		}
+	e.waiter.due = now.Add(fromMillis(a.PatienceMs))
+	e.waiter.arrivedAt = now
+	d, ok := h.admit(g, e, now)
+	if !ok {
+		return
 	}
-	if !g.queue.Push(a.Workspace, due, deadline, e.waiter) {
+	if !g.queue.Push(a.Workspace, d.due, d.deadline, e.waiter) {
 		h.serveQueue(g)
-		resp := h.newResponse(g, e.waiter, now)
-		resp.Queued = target.QueueTotal
-		e.waiter.finish(resp)
+		e.waiter.finish(h.queueFull(g, e.waiter, d.expected, now))
 		return
 	}
 	h.serveQueue(g)
@@ -147,16 +137,57 @@
 	w.finish(h.expiredResponse(g, w, now))
 }
 
-// admit decides whether a request may wait. It returns when the wait ends at
-// the latest and how long the request is expected to wait.
-func (g *heldGroup) admit(a *peerv1.PermitAcquire, due, now time.Time) (deadline time.Time, expected time.Duration, ok bool) {
-	w := target.WaitRequest{
+// isImmediate reports whether an acquire does not want to wait for a slot. Without
+// AnticipateLoad, Admission refuses such an acquire even when slots are free, and counts a
+// refused request although the caller goes on to another group.
+func (h *holderActor) isImmediate(a *peerv1.PermitAcquire) bool {
+	return a.WaitMs == 0 && h.pool.config.AnticipateLoad
+}
+
+// admit decides whether a request may wait, and refuses it if not. ok is false when the
+// request was refused.
+func (h *holderActor) admit(g *heldGroup, e exchangeCall, now time.Time) (d admission, ok bool) {
+	a := e.request.Acquire
+	switch {
+	case !g.byHealthEstimate():
+		return admission{due: e.waiter.due, deadline: now.Add(fromMillis(a.WaitMs))}, true
+	case g.control != nil:
+		d = h.admitWithControl(g, e, now)
+	default:
+		d = g.admitByHealth(a, e.waiter.due, h.isImmediate(a), now)
+	}
+	if d.withheld && g.control != nil {
+		g.control.withheld++
+		e.waiter.finish(h.refuseWithControl(g, e.waiter, d.expected, now))
+		return d, false
+	}
+	if d.withheld || !d.admitted {
+		e.waiter.finish(h.refuse(g, e.waiter, d.expected, now))
+		return d, false
+	}
+	return d, true
+}
+
+// admitByHealth decides whether a request may wait without overload control. An immediate one
+// does not want to wait and is not refused.
+func (g *heldGroup) admitByHealth(a *peerv1.PermitAcquire, due time.Time, immediate bool, now time.Time) admission {
+	d := admission{due: due, withheld: a.Repeat && !g.holder.MayRepeat(now)}
+	if immediate {
+		d.deadline, d.admitted = now, true
+		return d
+	}
+	d.deadline, d.expected, d.admitted = g.admission.Admit(waitRequest(a), g.queue.Ahead(due), g.queue.Len(), g.holder.MeanAnswerTime(a.Route), now)
+	return d
+}
+
+// waitRequest converts an acquire from protobuf.
+func waitRequest(a *peerv1.PermitAcquire) target.WaitRequest {
+	return target.WaitRequest{
 		DueAfter:  fromMillis(a.PatienceMs),
 		Objective: fromMillis(a.ObjectiveMs),
 		Wait:      fromMillis(a.WaitMs),
 		Hold:      fromMillis(a.HoldMs),
 	}
-	return g.admission.Admit(w, g.queue.Ahead(due), g.queue.Len(), g.holder.MeanAnswerTime(a.Route), now)
 }
 
 // minRetryAfter is the minimum time after which a refused request may be
@@ -167,11 +198,24 @@
 // is the expected wait for a slot.
 func (h *holderActor) refuse(g *heldGroup, w *waiter, wait time.Duration, now time.Time) *peerv1.ExchangePermitsResponse {
 	g.holder.RecordRefusal(now)
+	if g.control != nil {
+		return h.refuseWithControl(g, w, wait, now)
+	}
 	resp := h.newResponse(g, w, now)
 	resp.RefusedMs = millis(max(wait, minRetryAfter))
 	return resp
 }
 
+// queueFull returns the response to a request for which the queue has no room.
+func (h *holderActor) queueFull(g *heldGroup, w *waiter, wait time.Duration, now time.Time) *peerv1.ExchangePermitsResponse {
+	if g.control != nil {
+		return h.refuse(g, w, wait, now)
+	}
+	resp := h.newResponse(g, w, now)
+	resp.Queued = target.QueueTotal
+	return resp
+}
+
 // serveQueue grants permits to waiting callers while there are free slots.
 func (h *holderActor) serveQueue(g *heldGroup) {
 	if g.queue.Len() == 0 {
