command: the product's own header in a fuzz seed

Cause: a seed of FuzzAnswer named a header of the users' platform outside of platform/. Change: the product's own header. Result: the test passes.

--- a/node/command/status_test.go
+++ b/node/command/status_test.go
@@ -71,7 +71,7 @@
 		"HTTP/1.1 204 X\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
 		"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nTrailer: \x00, Content-Length\r\n\r\n1;\x01=\"\r\na\r\n0\r\nContent-Length: 9\r\n\r\n",
 		"HTTP/1.1 200 X\r\nContent-Length: 5, 5\r\nConnection: \x7f\r\n: \r\n\r\nabcde", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 099 Y\r\n\r\n",
-		"HTTP/1.1 200 X\r\nContent-Length: 2\r\nTrailer: A\r\n\r\nok", "HTTP/1.1 200 X\r\nRetry-After: NaN\r\nServer-Leaving: \x00\r\n\r\n",
+		"HTTP/1.1 200 X\r\nContent-Length: 2\r\nTrailer: A\r\n\r\nok", "HTTP/1.1 200 X\r\nRetry-After: NaN\r\nGalenasail-Leaving: \x00\r\n\r\n",
 	} {
 		f.Add(answer)
 	}
