soak: every other even seed runs with the parts for hard load

Cause: the soak played none of the new parts with real processes. Change: with seeds that leave 2 when divided by 4 the VMs have localDomains, anticipateLoad and overloadControl, and the services are placed by health estimates in groups of one failure domain.

--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -61,7 +61,8 @@
 // Guards against invariants that hold with all VMs in one process but not with
 // separate processes that are killed, paused and partitioned at the same time. With
 // odd seeds the VMs read a published list, with even seeds they find each other
-// through seed VMs. To replay seed N:
+// through seed VMs, and with every other even seed requests stay in their failure domain and
+// overload control is on. To replay seed N:
 //
 //	go test ./soak -run TestSoak -soak.seed N -soak.seeds 1
 //
@@ -94,7 +95,7 @@
 			_ = os.RemoveAll(dir)
 		}
 	})
-	tb := startTestbed(t, dir, *vmCount, seed%2 == 0)
+	tb := startTestbed(t, dir, *vmCount, seed)
 	tb.awaitHealthy(t)
 	var targetFaults sync.WaitGroup
 	targetFaults.Go(func() { tb.injectTargetFaults(t, seed, *faultPeriod) })
--- a/cmd/soak/targetfaults_test.go
+++ b/cmd/soak/targetfaults_test.go
@@ -133,6 +133,9 @@
 			}
 		}
 		doc.Targets = listed
+		if tb.hardLoad {
+			doc.Placement, doc.GroupByDomain = document.ByHealthEstimate, true
+		}
 		documents = append(documents, deployment.NamedDocument{Name: "services/" + doc.Name, Document: doc})
 	}
 	return documents
--- a/cmd/soak/testbed_test.go
+++ b/cmd/soak/testbed_test.go
@@ -72,6 +72,9 @@
 	// bySeeds is true when the VMs find each other through seed VMs instead of a
 	// published list.
 	bySeeds bool
+	// hardLoad switches on what is meant for fleets under hard load: locality, choice by
+	// expected load and overload control.
+	hardLoad bool
 }
 
 // callerResults counts the results of callers by workspace. It is safe for concurrent
@@ -151,12 +154,12 @@
 
 // startTestbed starts targets, platform, VMs and callers. Logs and settings are written
 // to dir.
-func startTestbed(t *testing.T, dir string, vms int, bySeeds bool) *testbed {
+func startTestbed(t *testing.T, dir string, vms int, seed uint64) *testbed {
 	ports, err := deployment.FreePorts()
 	if err != nil {
 		t.Fatal(err)
 	}
-	tb := &testbed{deployment: testDeployment(), ports: ports, platform: platform.New(platform.Config{}), ledger: ledger.New(), results: newCallerResults(), bySeeds: bySeeds}
+	tb := &testbed{deployment: testDeployment(), ports: ports, platform: platform.New(platform.Config{}), ledger: ledger.New(), results: newCallerResults(), bySeeds: seed%2 == 0, hardLoad: seed%4 == 2}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() {
@@ -241,6 +244,9 @@
 // announce the address at which they listen, so callers use the proxies only to query
 // addresses.
 func (tb *testbed) settings(s *settings.Settings, list *member.List) *settings.Settings {
+	if tb.hardLoad {
+		s.LocalDomains, s.AnticipateLoad, s.OverloadControl = tb.deployment.Domains, true, true
+	}
 	if !tb.bySeeds {
 		return s
 	}
