--- a/core/config/fetch.go
+++ b/core/config/fetch.go
@@ -394,8 +394,9 @@
 }
 
 // enoughSeeds and enoughPeers are the numbers of seeds and of peers whose answers suffice
-// for PeersAsked. Those that answer first may have just started too; after a restart of
-// all VMs, none has a configuration, and waiting for more of them only delays the start.
+// for PeersAsked. One is not enough, because the first to answer may have just started too.
+// All are not needed: after a restart of all VMs none has a configuration, and waiting for
+// more answers only delays the start.
 const (
 	enoughSeeds = 2
 	enoughPeers = 3
--- a/core/membudget/budget.go
+++ b/core/membudget/budget.go
@@ -1,9 +1,10 @@
 // Package membudget decides how much memory and how many connections may be held for the
 // callers of a VM, and which connections are closed when a limit is reached.
 //
-// Connections that have made no progress for longest are closed first, then the newest ones
-// of the holder, an address or a workspace, that holds most. Time is passed in; the package
-// is not safe for concurrent use.
+// Each connection has an account. A holder is an address or a workspace with its connections;
+// it is no holder of a lease. When a limit is reached, the connections that have made no
+// progress for longest are closed first, then the newest ones of the holder that holds most.
+// Time is passed in; the package is not safe for concurrent use.
 package membudget
 
 import "time"
@@ -20,7 +21,7 @@
 // connection counts as stalled.
 type Phase uint8
 
-// The phases of a connection.
+// Header, Body and Writing wait for the caller, which counts as stalled after activeGrace.
 const (
 	// Header: the connection is new or its caller is sending a header.
 	Header Phase = iota
@@ -143,8 +144,8 @@
 	return evicted, ok
 }
 
-// Hold adds bytes that are already in use, even beyond the limit. evicted lists connections
-// to close.
+// Hold adds bytes that are already in use, even beyond the limit. It closes stalled
+// connections only; evicted lists them.
 func (b *Budget) Hold(a *Account, bytes int64, now time.Time) (evicted []*Account) {
 	if a.closed {
 		return nil
@@ -187,7 +188,8 @@
 	a.phase, a.progress = p, now
 }
 
-// Assign assigns an account to the named holder.
+// Assign moves an account with its bytes to the named holder, for example from an address to
+// a workspace once the request is authenticated.
 func (b *Budget) Assign(a *Account, name string) {
 	if a.closed || a.holder.name == name {
 		return
--- a/core/registry/carry.go
+++ b/core/registry/carry.go
@@ -9,15 +9,15 @@
 )
 
 // Periods for which knowledge from before a return of the store from an older copy
-// replaces the content of the copy. Targets register again within about 2 s of the
-// return and renew their registrations every 1.5 s.
+// (see Position.Epoch) replaces the content of the copy. Targets register again within
+// about 2 s of the return and renew their registrations every 1.5 s.
 const (
 	// carryPeriod is how long an active target is kept that has not registered again.
 	carryPeriod = 5 * time.Second
-	// overridePeriod is how long entries of the copy are ignored that were removed or
-	// changed before the return to a state with less work. Live targets end it by their
-	// next write, and the store removes registrations that nobody renews well within
-	// that time.
+	// overridePeriod is how long entries of the copy are ignored where the fleet knew
+	// otherwise: targets that had left or were draining, and failure domains whose state
+	// differed. Live targets end it by their next write, and the store removes
+	// registrations that nobody renews well within that time.
 	overridePeriod = 30 * time.Second
 	// unverifiedPeriod is how long documents count as unverified that were built without
 	// knowing what the fleet had in force: by then the live targets and the operator have
@@ -124,9 +124,9 @@
 	}
 }
 
-// overtaken reports whether a VM that did not know what the fleet had in force has
-// learned it now.
-func (r *Registry) overtaken(a Answer) bool {
+// knowsFleetNow reports whether this VM did not know what the fleet had in force when the
+// epoch began, and has applied a verified configuration of the epoch since.
+func (r *Registry) knowsFleetNow(a Answer) bool {
 	return r.carried.unverified && a.Known.informed(r.position.Epoch) && EpochOf(a.Known.Applied.Ticket()) == r.position.Epoch
 }
 
@@ -136,11 +136,11 @@
 	return r.carried.unverified && now.Before(r.carried.unverifiedUntil)
 }
 
-// release ends the use of carried knowledge that a change replaces which was written
-// after the return. A carried active target whose registration is removed is kept for
-// the retention period, because registrations lapse while targets cannot reach the
-// store.
-func (r *Registry) release(c Change, now time.Time) {
+// dropCarried drops the carried entries that a change replaces, if the change was written
+// after the return of the store. A carried active target whose registration is removed is
+// kept for the retention period, because registrations lapse while targets cannot reach
+// the store.
+func (r *Registry) dropCarried(c Change, now time.Time) {
 	if c.Revision <= r.carried.first {
 		return
 	}
@@ -159,16 +159,17 @@
 	}
 }
 
-// releaseMissing releases what a full read in the same epoch no longer contains.
-func (r *Registry) releaseMissing(entries map[string]Registration, domainsOut map[string]bool, a Answer) {
+// dropMissingCarried drops the carried entries of keys that a full read in the same epoch no
+// longer contains.
+func (r *Registry) dropMissingCarried(entries map[string]Registration, domainsOut map[string]bool, a Answer) {
 	for id := range entries {
 		if _, ok := r.entries[id]; !ok {
-			r.release(Change{Key: id, Revision: a.At.Revision}, a.Now)
+			r.dropCarried(Change{Key: id, Revision: a.At.Revision}, a.Now)
 		}
 	}
 	for name := range domainsOut {
 		if !r.domainsOut[name] {
-			r.release(Change{Domain: name, Revision: a.At.Revision}, a.Now)
+			r.dropCarried(Change{Domain: name, Revision: a.At.Revision}, a.Now)
 		}
 	}
 }
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -93,8 +93,10 @@
 	At Position
 	// Outage is what this VM knows about an outage that ends with the answer.
 	Outage Outage
-	Known  Known
-	Now    time.Time
+	// Known is what this VM knows of the fleet's configuration.
+	Known Known
+	// Now is the time at which the answer arrived.
+	Now time.Time
 }
 
 // retainedTarget is a registration that vanished while the store was unavailable and is
@@ -142,14 +144,14 @@
 	for _, c := range all {
 		r.applyChange(c)
 	}
-	if a.At.Epoch > r.position.Epoch || r.overtaken(a) {
+	if a.At.Epoch > r.position.Epoch || r.knowsFleetNow(a) {
 		r.beginEpoch(a)
 	} else {
-		r.releaseMissing(entries, domainsOut, a)
+		r.dropMissingCarried(entries, domainsOut, a)
 		r.retainVanished(previous, a.Now)
 	}
 	for _, c := range all {
-		r.release(c, a.Now)
+		r.dropCarried(c, a.Now)
 	}
 	r.position = a.At
 }
@@ -159,10 +161,10 @@
 	previous := r.retainable(a.Outage)
 	for _, c := range changes {
 		r.applyChange(c)
-		r.release(c, a.Now)
+		r.dropCarried(c, a.Now)
 	}
 	r.retainVanished(previous, a.Now)
-	if r.overtaken(a) {
+	if r.knowsFleetNow(a) {
 		r.beginEpoch(a)
 	}
 	r.position.Revision = max(r.position.Revision, a.At.Revision)
--- a/core/registry/reissue.go
+++ b/core/registry/reissue.go
@@ -16,11 +16,11 @@
 		return false
 	}
 	announced := r.announcedTicket(applied)
-	outbids := known.ContestedTicket >= announced && known.ContestedTicket < r.ticket()
+	contested := known.ContestedTicket >= announced && known.ContestedTicket < r.ticket()
 	// A provisional ticket does not outlast its reason: a VM that becomes a reader would
 	// carry what nobody carries any more.
-	settles := isProvisional(announced) && !r.provisional()
-	return outbids || settles || EpochOf(announced) < r.position.Epoch
+	provisionalEnded := isProvisional(announced) && !r.provisional()
+	return contested || provisionalEnded || EpochOf(announced) < r.position.Epoch
 }
 
 // adoptApplied makes the applied index of the same epoch that of the registry where its
--- a/core/target/anticipate.go
+++ b/core/target/anticipate.go
@@ -27,10 +27,10 @@
 	respondedAt time.Time
 	// usual is the moving average of room.
 	usual float64
-	// lastCall numbers the calls. A response to call n includes all calls up to n, the
-	// highest of which is included.
+	// lastCall is the number of the last call. A response to call n includes all calls up to
+	// n; included is the highest n with a response.
 	lastCall, included uint64
-	// forgotten is the last call before Forget.
+	// forgotten is the last call before Forget; responses to calls up to it are ignored.
 	forgotten uint64
 	// pending lists the calls without a response.
 	pending []uint64
@@ -176,8 +176,8 @@
 // OrderGroups returns the order in which to ask the groups: the one with more expected
 // room of two random groups first, and the others by expected room. Groups are drawn in
 // proportion to their slots, which keeps all deciders from following the same response to
-// the same group. With remote groups the one with most room comes first: few deciders prefer
-// the same failure domain. Random returns a number in [0, 1).
+// the same group. When some groups are remote, all are sorted by room without a draw, because
+// few deciders prefer the same failure domain. Random returns a number in [0, 1).
 func OrderGroups(loads []EstimatedLoad, turnover time.Duration, random func() float64) GroupOrder {
 	rooms := ExpectedRooms(loads, turnover)
 	order := orderByRoom(loads, rooms, random)
--- a/core/target/capacity.go
+++ b/core/target/capacity.go
@@ -19,8 +19,9 @@
 	// minQueue is the mean number of requests that wait inside a busy target from which its
 	// limit falls: half of one, so that the limit is the nearest number of slots.
 	minQueue = 0.5
-	// referenceValidFor is how long the answer times of targets with little load are compared
-	// with. Without recent ones, slow answers of a full target may be due to the requests.
+	// referenceValidFor is how long after the last answer of a request that was alone on its
+	// target other answers are compared with such ones. Without recent ones, slow
+	// answers of a full target may be due to the requests.
 	referenceValidFor = time.Second
 	// raiseInterval is the time from a fall of a limit to its first rise. It doubles with
 	// each further fall, up to maxRaiseInterval, because each rise lets requests queue at a
@@ -66,8 +67,9 @@
 	// changedAt is when the limit last changed, raiseAfter the time until it may rise.
 	changedAt  time.Time
 	raiseAfter time.Duration
-	// returning is true while the limit rises with each normal answer, after an episode of
-	// gray failures, a pause or a drain.
+	// returning is true while the limit rises with each normal answer (see beginReturn): after
+	// gray failures, after a drain or an outage of the failure domain, and after a shed that
+	// was followed by a time without requests.
 	returning bool
 	// speed holds the answer times relative to those of the whole group.
 	speed answerStats
@@ -153,7 +155,7 @@
 // nearly all is evidence of a gray failure instead.
 func (h *Holder) learnFromAnswer(p *permit, latency time.Duration, now time.Time) {
 	c := &p.target.capacity
-	h.recordShed(p, false, now)
+	h.recordPartialShed(p, false, now)
 	if latency <= 0 || h.answerTimes[p.route].shareAbove(latency) < slowTail {
 		return
 	}
@@ -233,7 +235,7 @@
 func (h *Holder) learnFromShed(p *permit, now time.Time) {
 	s := p.target
 	s.capacity.shedAt = now
-	h.recordShed(p, true, now)
+	h.recordPartialShed(p, true, now)
 	limit := h.slotLimit(s, now)
 	if h.partialSheds.aboveLimit(now) {
 		s.capacity.lift()
@@ -245,13 +247,14 @@
 	h.lowerLimit(s, limit-1, "the target sheds requests when all slots are in use", now)
 }
 
-// lift ends a limit.
+// lift removes the limit, so that all slots may be used.
 func (c *capacity) lift() {
 	c.limit, c.returning = 0, false
 	c.forgetLevels()
 }
 
-// lowerLimit lowers the limit of s.
+// lowerLimit sets a lower limit for s and delays its next rise. It records an event when no
+// limit applied before.
 func (h *Holder) lowerLimit(s *state, limit int, reason string, now time.Time) {
 	c := &s.capacity
 	if c.limit <= 0 {
@@ -262,8 +265,10 @@
 	c.forgetLevels()
 }
 
-// noteGrant records the load of the target with a new permit. A target that gets its first
-// request after a pause, or after it shed requests and had none for a while, is returning.
+// noteGrant records the load of the target with a new permit. A target that shed a request
+// since its last normal answer, while only full targets shed, begins a return when it had no
+// request for successValidFor. Any other target that is not returning loses its
+// limit after unusedRestore without a request, because the limit belongs to an earlier load.
 func (h *Holder) noteGrant(s *state, p *permit, now time.Time) {
 	if !h.anticipate || !h.placesByHealth() {
 		return
@@ -318,8 +323,8 @@
 	return h.grayProbability(s, "", now)
 }
 
-// recordShed records whether a target with free slots shed a request.
-func (h *Holder) recordShed(p *permit, shed bool, now time.Time) {
+// recordPartialShed records, for a target that had free slots, whether it shed the request.
+func (h *Holder) recordPartialShed(p *permit, shed bool, now time.Time) {
 	if p.concurrency < p.target.doc.Slots {
 		h.partialSheds.record(shed, now)
 	}
--- a/core/target/floor.go
+++ b/core/target/floor.go
@@ -10,9 +10,9 @@
 	// used to maintain the floor: half of the 10% of failed requests from which a
 	// service has to stay above its floor.
 	failureShareLimit = 0.05
-	// floorFailureShare is the share of failed requests above which each target below
-	// grayLimit is kept in use, and not only as many as the floor: the targets that are left
-	// out may be the healthy ones.
+	// floorFailureShare is the share of failed requests above which every target with a gray
+	// probability below grayLimit gets requests, and not only as many targets as the floor
+	// requires: the unused targets may be the healthy ones.
 	floorFailureShare = 0.08
 	// unreachableMemory is how long a VM that could not connect to a target gets no request
 	// for it that the floor requires.
@@ -121,8 +121,8 @@
 
 // requiredByFloor reports whether s, with the given gray probability, has to get the request:
 // requests fail, and s had none for so long that the service would fall below its floor. It
-// covers loads at which many targets are estimated as gray, some of them wrongly. A request of
-// a VM that could not reach the target would not arrive and is not required.
+// matters for loads at which many targets are estimated as gray, some of them wrongly. A
+// request of a VM that could not reach the target would not arrive and is not required.
 func (h *Holder) requiredByFloor(s *state, gray float64, a AcquireRequest, now time.Time) bool {
 	unused := now.Sub(s.health.lastGrant)
 	if a.Hedge || unused < unusedIdempotent || !a.Failing && !h.failures.aboveLimit(now) {
--- a/core/target/health.go
+++ b/core/target/health.go
@@ -220,7 +220,7 @@
 	e := &p.target.health
 	h.recordOutcome(r.Outcome, now)
 	e.recordArrival(p, r.Outcome, now)
-	h.recordShedShare(p.target, r.Outcome, now)
+	h.countShed(p.target, r.Outcome, now)
 	switch r.Outcome {
 	case OK:
 		h.recordAnswerTime(p.route, r.Latency)
--- a/core/target/holder.go
+++ b/core/target/holder.go
@@ -39,8 +39,9 @@
 	// report the slots that it would grant as free. It affects only placement by health
 	// estimates. Default: false.
 	Anticipate bool
-	// OverloadControl weighs sheds against those of the other targets. It applies to
-	// services with placement by health estimates.
+	// OverloadControl weighs sheds against those of the other targets, and keeps the reserve
+	// of the retry budget unspent during the first repeatWindow of the holder. It applies to
+	// services with placement by health estimates. Default: false.
 	OverloadControl bool
 	// Defect injects a deliberate fault into a randomised test run. Default: none.
 	Defect Defect
@@ -278,7 +279,8 @@
 
 // FreeSlots returns the number of permits that can be issued now. For groups of one failure
 // domain it counts targets that are not probably gray only: the figure tells other domains
-// and this one where requests can be served.
+// and this one where requests can be served. With Config.Anticipate it counts the slots that
+// the holder would grant now (see anticipatedFreeSlots).
 func (h *Holder) FreeSlots(now time.Time) int {
 	if h.view.Service.GroupByDomain && h.placesByHealth() {
 		return h.freeHealthySlots(now)
--- a/core/target/locality.go
+++ b/core/target/locality.go
@@ -25,8 +25,8 @@
 
 // Room ranks a group for requests that prefer the failure domain of their VM: the share of
 // its slots that is free, less the waiting requests and the penalty of another domain. It
-// answers uneven demand of the failure domains: requests stay local while the domain has
-// room and overflow to where there is most.
+// is meant for uneven demand of the failure domains: requests stay in their domain while it
+// has room, and otherwise go to the group with the most room.
 func Room(l GroupLoad, local bool) float64 {
 	if l.Unreachable {
 		return unreachableRoom
--- a/core/target/shedding.go
+++ b/core/target/shedding.go
@@ -35,8 +35,9 @@
 	return shedCounter{window{length: shedWindow}}
 }
 
-// recordShedShare records whether a request that reached s was shed.
-func (h *Holder) recordShedShare(s *state, o Outcome, now time.Time) {
+// countShed counts a request that reached s as taken or shed in the window of s. It does
+// nothing without overload control.
+func (h *Holder) countShed(s *state, o Outcome, now time.Time) {
 	if !h.overloadControl {
 		return
 	}
@@ -48,13 +49,13 @@
 	}
 }
 
-// shedTotals are the requests that the targets of a group took and shed.
-type shedTotals struct{ taken, shed int }
+// shedCounts are the requests that the targets of a group took and shed.
+type shedCounts struct{ taken, shed int }
 
 // shedTotals returns the requests of the last shedWindow. They are 0 without overload
 // control.
-func (h *Holder) shedTotals(now time.Time) shedTotals {
-	var all shedTotals
+func (h *Holder) shedTotals(now time.Time) shedCounts {
+	var all shedCounts
 	if !h.overloadControl {
 		return all
 	}
@@ -67,7 +68,7 @@
 
 // shareWithout returns the share of requests that were shed, without those of one target.
 // It is 0 when there were too few others.
-func (t shedTotals) shareWithout(taken, shed int) float64 {
+func (t shedCounts) shareWithout(taken, shed int) float64 {
 	others := t.taken + t.shed - taken - shed
 	if others < minShedEvidence {
 		return 0
@@ -87,7 +88,7 @@
 
 // expectedShedLoss returns the expected loss of a request to s by a shed, where all are
 // the sheds of the group.
-func (h *Holder) expectedShedLoss(s *state, all shedTotals, now time.Time) float64 {
+func (h *Holder) expectedShedLoss(s *state, all shedCounts, now time.Time) float64 {
 	if all.shed == 0 {
 		return 0
 	}
--- a/node/daemon/limits.go
+++ b/node/daemon/limits.go
@@ -33,10 +33,12 @@
 	peerConnDivisor   = 8
 	adminConnDivisor  = 16
 	targetConnDivisor = 4
-	// otherDivisor gives peers and operators a quarter of the memory for callers each.
+	// otherDivisor gives peers and operators a quarter of the memory for callers each, in
+	// addition to it.
 	otherDivisor = 4
 	// bodyDivisor allows 32 bodies of the largest buffered size.
-	bodyDivisor   = 32
+	bodyDivisor = 32
+	// minBodyBuffer and maxBodyBuffer bound the derived size of a buffered body, in bytes.
 	minBodyBuffer = 64 << 10
 	maxBodyBuffer = 8 << 20
 	// defaultStall is longer than a link of a caller is usually interrupted.
--- a/node/limit/guard.go
+++ b/node/limit/guard.go
@@ -13,7 +13,7 @@
 	"github.com/galenasail/galenasail/core/membudget"
 )
 
-// Sizes that are charged for what net/http and this VM allocate.
+// Sizes, in bytes, that are charged for what net/http and this VM allocate.
 const (
 	// connBytes covers a connection with its goroutine, its buffers and a header of
 	// ordinary size.
@@ -34,7 +34,8 @@
 // Reason is why a connection was closed or a request refused.
 type Reason string
 
-// The reasons.
+// NoConnection to Evicted are due to the limits of the Guard, the others to a caller without
+// progress.
 const (
 	// NoConnection: no further connection may be open.
 	NoConnection Reason = "no_connection"
--- a/node/limit/request.go
+++ b/node/limit/request.go
@@ -12,8 +12,9 @@
 	held int64
 }
 
-// Begin charges the connection of r for the request and its header. The error states that
-// the request did not run. The request must be released with End.
+// Begin charges the connection of r for the request and its header. It returns nil and no
+// error for a connection without a Guard. The error states that the request did not run.
+// The request must be released with End.
 func Begin(r *http.Request) (*Request, error) {
 	c := find(NetConn(r.Context()))
 	if c == nil {
@@ -37,8 +38,9 @@
 // may stay in memory while the refusal is sent.
 const maxUnheldBytes = 64 << 10
 
-// Unanswerable reports whether the stream of an unbounded request must be reset: its caller
-// could keep a large header in memory by not reading the refusal.
+// Unanswerable reports whether the HTTP/2 stream of a request that Begin refused must be reset
+// instead of answered: its header is not charged, and its caller could keep a large one in
+// memory by not reading the refusal.
 func Unanswerable(r *http.Request) bool {
 	return r.ProtoMajor > 1 && find(NetConn(r.Context())) != nil && requestCost(r) > maxUnheldBytes
 }
--- a/node/pool/anticipate.go
+++ b/node/pool/anticipate.go
@@ -30,7 +30,9 @@
 
 // tryAnticipated asks the group with the most expected room without waiting if a free slot
 // is expected there, and then waits in the queue of a group, chosen again with what the
-// first response reported. It returns nil when none granted a permit.
+// first response reported. A request, other than a hedge, that has only one group to ask goes
+// to its queue at once, which grants a free slot just as well. It returns nil when none
+// granted a permit.
 func (p *Pool) tryAnticipated(ctx context.Context, q *acquireRequest, clients []*groupClient) *permitUse {
 	order, hasRoom := p.orderByExpectedLoad(q, clients)
 	onlyGroup := len(order) == 1 && !q.Hedge
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -128,7 +128,7 @@
 }
 
 // endWait responds to a request whose time in the queue has passed. One that did not want
-// to wait is not refused.
+// to wait is not refused; without AnticipateLoad, none is refused here.
 func (h *holderActor) endWait(g *heldGroup, w *waiter, immediate bool, now time.Time) {
 	if immediate || !h.pool.config.AnticipateLoad {
 		w.finish(h.newResponse(g, w, now))
--- a/node/pool/locality.go
+++ b/node/pool/locality.go
@@ -20,8 +20,8 @@
 	return member.ShardOf(g.Name)
 }
 
-// isRemote reports whether requests of this VM prefer other groups than those of a failure
-// domain.
+// isRemote reports whether the targets of a group are in another failure domain than this VM
+// and requests prefer their own domain. Domain is that of the group; empty for several.
 func (p *Pool) isRemote(domain string) bool {
 	return len(p.config.LocalDomains) > 0 && domain != "" && domain != p.config.Identity.VM.FailureDomain
 }
--- a/node/pool/overload.go
+++ b/node/pool/overload.go
@@ -23,8 +23,9 @@
 	deadlines overload.Deadlines
 	// layout is the layout whose routes are in deadlines.
 	layout *layout
-	// refused, evicted and withheld count the refused requests, those of them that left a
-	// full queue, and the repeats for which the retry budget was kept for others.
+	// refused counts the refused requests since the last event, evicted those of them that
+	// left a full queue, and withheld those that were repeats for which the retry budget was
+	// used up or kept for others.
 	refused, evicted, withheld int
 	// recordedAt is when the last GroupOverloaded event was recorded.
 	recordedAt time.Time
