--- a/core/target/floor.go
+++ b/core/target/floor.go
@@ -18,9 +18,10 @@
 	// for it that the floor requires.
 	unreachableMemory = 5 * time.Second
 	// unusedIdempotent and unusedAny apply while the share of failed requests is above
-	// failureShareLimit. A target that had no request for unusedIdempotent gets the next
+	// failureShareLimit, or an entry VM reports failures (AcquireRequest.Failing). A target that had no request for unusedIdempotent gets the next
 	// idempotent request. One that had none for unusedAny gets the next request of any
-	// kind if the service is below its floor plus floorMargin. Both are below 2 s,
+	// kind if the service is below its floor plus floorMargin, or as floorFailureShare says.
+	// Both are below 2 s,
 	// because the floor counts the targets that got a request within the last 2 s.
 	unusedIdempotent = 1200 * time.Millisecond
 	unusedAny        = 1600 * time.Millisecond
--- a/node/command/overload.go
+++ b/node/command/overload.go
@@ -15,8 +15,8 @@
 // assumed to take. This VM sees too few answers of most routes for an estimate.
 const assumedAnswerShare = 1.0 / 3
 
-// callerReturns recognizes requests whose callers have been refused before by the time
-// that they have left. It is safe for concurrent use.
+// callerReturns recognizes requests of callers that have been refused before: they have less
+// time left until their deadline than new ones (see overload.Deadlines). It is safe for concurrent use.
 type callerReturns struct {
 	mu        sync.Mutex
 	deadlines overload.Deadlines
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -30,9 +30,10 @@
 const adminHeaderTimeout = 5 * time.Second
 
 const (
-	// adminWriteTimeout bounds the time in which such a client reads its response.
+	// adminWriteTimeout bounds the time in which a client of the same servers reads its
+	// response.
 	adminWriteTimeout = 30 * time.Second
-	// adminIdleTimeout closes their idle connections.
+	// adminIdleTimeout is how long a connection to these servers may be idle.
 	adminIdleTimeout = time.Minute
 )
 
--- a/node/limit/handler.go
+++ b/node/limit/handler.go
@@ -9,7 +9,7 @@
 }
 
 // RequestsWithBody is like Requests and also charges the body of each request, which next
-// reads into memory: its length or, if that is unknown, maxBody.
+// reads into memory: its length, or maxBody if the length is unknown or larger.
 func RequestsWithBody(next http.Handler, maxBody int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held, err := Begin(r)
