--- a/core/target/floor.go
+++ b/core/target/floor.go
@@ -10,17 +10,18 @@
 	// used to maintain the floor: half of the 10% of failed requests from which a
 	// service has to stay above its floor.
 	failureShareLimit = 0.05
-	// floorFailureShare is the share of failed requests above which each target below
-	// grayLimit is kept in use, and not only as many as the floor: the targets that are left
-	// out may be the healthy ones.
+	// floorFailureShare is the share of failed requests above which every target with a gray
+	// probability below grayLimit gets requests, and not only as many targets as the floor
+	// requires: the unused targets may be the healthy ones.
 	floorFailureShare = 0.08
 	// unreachableMemory is how long a VM that could not connect to a target gets no request
 	// for it that the floor requires.
 	unreachableMemory = 5 * time.Second
 	// unusedIdempotent and unusedAny apply while the share of failed requests is above
-	// failureShareLimit. A target that had no request for unusedIdempotent gets the next
+	// failureShareLimit, or an entry VM reports failures (AcquireRequest.Failing). A target that had no request for unusedIdempotent gets the next
 	// idempotent request. One that had none for unusedAny gets the next request of any
-	// kind if the service is below its floor plus floorMargin. Both are below 2 s,
+	// kind if the service is below its floor plus floorMargin, or as floorFailureShare says.
+	// Both are below 2 s,
 	// because the floor counts the targets that got a request within the last 2 s.
 	unusedIdempotent = 1200 * time.Millisecond
 	unusedAny        = 1600 * time.Millisecond
@@ -121,8 +122,8 @@
 
 // requiredByFloor reports whether s, with the given gray probability, has to get the request:
 // requests fail, and s had none for so long that the service would fall below its floor. It
-// covers loads at which many targets are estimated as gray, some of them wrongly. A request of
-// a VM that could not reach the target would not arrive and is not required.
+// matters for loads at which many targets are estimated as gray, some of them wrongly. A
+// request of a VM that could not reach the target would not arrive and is not required.
 func (h *Holder) requiredByFloor(s *state, gray float64, a AcquireRequest, now time.Time) bool {
 	unused := now.Sub(s.health.lastGrant)
 	if a.Hedge || unused < unusedIdempotent || !a.Failing && !h.failures.aboveLimit(now) {
