--- a/node/command/answer.go
+++ b/node/command/answer.go
@@ -37,6 +37,7 @@
 	}
 	buf, done := prefixBuffer(resp)
 	defer done()
+	defer a.exchange.held.HoldResponse(int64(len(buf)))()
 	body, err := readAnswerPrefix(resp, buf)
 	a.targetTime += time.Since(a.writtenAt())
 	if err != nil && err != io.EOF {
@@ -76,7 +77,7 @@
 	if mergedAnswers(resp) {
 		return a.unusableFailure("the answer of the target begins with bytes of another one")
 	}
-	if !isFinalStatus(resp.StatusCode) {
+	if !isFinalStatus(resp.StatusCode) && resp.StatusCode != http.StatusSwitchingProtocols {
 		return a.unusableFailure(fmt.Sprintf("the answer of the target has status %03d, which is no final HTTP status", resp.StatusCode))
 	}
 	d := a.exchange.h.cfg.Dialect
@@ -96,7 +97,7 @@
 		return a.unusableFailure("the answer has a Content-Encoding that the caller did not request")
 	}
 	endless := !hasVerifiableEnd(resp) && !d.AllowCloseDelimited
-	if endless {
+	if resp.StatusCode == http.StatusSwitchingProtocols || endless {
 		return a.truncatedFailure(errNoFraming)
 	}
 	return nil
@@ -233,6 +234,7 @@
 	}
 	ex.sendStatus(resp.StatusCode)
 	if len(body) > 0 {
+		ex.boundStreamWrite(http.NewResponseController(ex.w))
 		// countingWriter records a write error of a disconnected caller.
 		_, _ = ex.w.Write(body)
 	}
@@ -277,7 +279,7 @@
 		ex.announceTrailer(resp)
 	}
 	ex.sendStatus(resp.StatusCode)
-	toCaller, fromTarget := copyAnswer(ex.w, resp.Body, buf, n)
+	toCaller, fromTarget := ex.copyAnswer(resp.Body, buf, n)
 	if fromTarget == nil && toCaller == nil {
 		a.releaseCompleted(resp)
 		ex.sendTrailer(resp)
@@ -293,13 +295,14 @@
 	return a.truncatedFailure(fromTarget)
 }
 
-// copyAnswer writes the first n bytes of buf and then the rest of from to w, and flushes
-// after each write.
-func copyAnswer(w http.ResponseWriter, from io.Reader, buf []byte, n int) (toCaller, fromTarget error) {
-	control := http.NewResponseController(w)
+// copyAnswer writes the first n bytes of buf and then the rest of from to the caller, and
+// flushes after each write.
+func (ex *exchange) copyAnswer(from io.Reader, buf []byte, n int) (toCaller, fromTarget error) {
+	control := http.NewResponseController(ex.w)
 	for {
 		if n > 0 {
-			if _, err := w.Write(buf[:n]); err != nil {
+			ex.boundStreamWrite(control)
+			if _, err := ex.w.Write(buf[:n]); err != nil {
 				return err, nil
 			}
 			if err := control.Flush(); err != nil {
@@ -316,3 +319,18 @@
 	}
 	return nil, fromTarget
 }
+
+// boundStreamWrite bounds the wait for an HTTP/2 caller that reads nothing of its stream. The
+// connection itself bounds writes of HTTP/1.
+func (ex *exchange) boundStreamWrite(control *http.ResponseController) {
+	stall := ex.held.Stall()
+	if stall == 0 || ex.r.ProtoMajor == 1 {
+		return
+	}
+	deadline := ex.deadline.Add(writeGrace)
+	if at := time.Now().Add(stall); at.Before(deadline) {
+		deadline = at
+	}
+	// This call fails only on writers without a connection, as in tests.
+	_ = control.SetWriteDeadline(deadline)
+}
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -41,6 +41,8 @@
 	// Hedged counts a second attempt that is started while the first one has not
 	// answered.
 	Hedged(service string)
+	// Withheld counts a request that a target shed and that was refused instead of retried.
+	Withheld(service string)
 }
 
 // Config holds what a Handler needs. Fields without a default are required.
@@ -66,6 +68,9 @@
 	// ConnsPerTarget is the maximum number of connections to one target.
 	// Default: 7.
 	ConnsPerTarget int
+	// IdleTargetConns is the maximum number of idle connections to all targets, at most
+	// 4096. Default: 4096.
+	IdleTargetConns int
 	// Idempotency bounds the table of idempotency keys. Default: the defaults of
 	// idem.Limits.
 	Idempotency idem.Limits
@@ -77,6 +82,9 @@
 	// StartupWait is how long after its creation the handler holds requests while
 	// this VM has no configuration or VM list. Default: requests are refused immediately.
 	StartupWait time.Duration
+	// OverloadControl decides by package overload which requests that a target shed are
+	// retried, and when refused callers return. Default: false.
+	OverloadControl bool
 	// Dial opens connections to targets. Default: TCP with a timeout of 500 ms.
 	Dial DialFunc
 }
@@ -105,6 +113,9 @@
 // Hedged implements Metrics.
 func (noMetrics) Hedged(string) {}
 
+// Withheld implements Metrics.
+func (noMetrics) Withheld(string) {}
+
 func (c Config) withDefaults() Config {
 	if c.Metrics == nil {
 		c.Metrics = noMetrics{}
@@ -112,6 +123,9 @@
 	if c.ConnsPerTarget <= 0 {
 		c.ConnsPerTarget = defaultConnsPerTarget
 	}
+	if c.IdleTargetConns <= 0 || c.IdleTargetConns > maxIdleConns {
+		c.IdleTargetConns = maxIdleConns
+	}
 	if c.Dialect == nil {
 		c.Dialect = wire.Native()
 	}
@@ -135,6 +149,7 @@
 	outcomes         serviceOutcomes
 	notices          *targetNotices
 	reporter         *requestReporter
+	returns          callerReturns
 	running          atomic.Int64
 	closeAfterAnswer atomic.Bool
 	draining         atomic.Bool
@@ -182,6 +197,7 @@
 	}
 	ix := &routeIndex{snapshot: snapshot, routes: route.NewIndex(snapshot.Routes), splitter: h.currentSplitter()}
 	h.index.Store(ix)
+	h.returns.retain(snapshot)
 	return ix
 }
 
--- a/node/command/fail.go
+++ b/node/command/fail.go
@@ -12,7 +12,7 @@
 // fail answers with an error, or aborts the connection or HTTP/2 stream if the status of
 // an answer was already sent.
 func (ex *exchange) fail(err error) {
-	e := ex.correctOutcome(fault.From(err))
+	e := ex.spreadReturn(ex.correctOutcome(fault.From(err)))
 	ex.h.cfg.Metrics.Failed(e.Kind, ex.workspaceID())
 	ex.recordDone(ex.h.reporter.failed, e.Error())
 	if ex.statusSent {
@@ -21,6 +21,8 @@
 	}
 	ex.checkRefusal(e.Kind)
 	ex.h.cfg.Metrics.AddedLatency(time.Since(ex.start) - ex.externalTime)
+	// This call fails only on writers without a connection, as in tests.
+	_ = http.NewResponseController(ex.w).SetWriteDeadline(time.Now().Add(writeGrace))
 	ex.setConnectionClose()
 	if !ex.bodyLeftUnread() {
 		ex.h.cfg.Dialect.WriteError(ex.w, e, ex.id)
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -14,6 +14,7 @@
 	"github.com/galenasail/galenasail/node/baseline"
 	"github.com/galenasail/galenasail/node/cell"
 	"github.com/galenasail/galenasail/node/command"
+	"github.com/galenasail/galenasail/node/limit"
 	"github.com/galenasail/galenasail/node/mirror"
 	"github.com/galenasail/galenasail/node/peer"
 	"github.com/galenasail/galenasail/node/platform"
@@ -28,6 +29,13 @@
 // send the request header too slowly.
 const adminHeaderTimeout = 5 * time.Second
 
+const (
+	// adminWriteTimeout bounds the time in which such a client reads its response.
+	adminWriteTimeout = 30 * time.Second
+	// adminIdleTimeout closes their idle connections.
+	adminIdleTimeout = time.Minute
+)
+
 // assemble creates the parts and connects them through their interfaces. The reader and
 // the cell depend on each other; closures resolve this by reading the fields of d when
 // they are called.
@@ -182,8 +190,10 @@
 		System:           d.system,
 		FleetRetryBudget: d.fleetRetryBudget(),
 		LocalDomains:     d.settings.LocalDomains,
+		OnLocality:       func(local bool) { d.requestMetrics.countPermit(local) },
 		AnticipateLoad:   d.settings.AnticipateLoad,
 		OnLoadChoice:     func(r pool.LoadChoice) { d.requestMetrics.countLoadChoice(r) },
+		OverloadControl:  d.settings.OverloadControl,
 	})
 }
 
@@ -191,14 +201,16 @@
 func (d *Daemon) assembleServers() {
 	d.requestMetrics = newRequestMetrics(d.metrics.Scope)
 	cfg := command.Config{
-		Identity:    d.identity,
-		Configs:     d.reader,
-		Contact:     d.cell,
-		Limiter:     d.requestMetrics.countAdmitted(d.limiterPolicy()),
-		Picker:      d.pickerPolicy(),
-		PoisonMarks: d.cell,
-		Events:      d.recorder,
-		Metrics:     d.requestMetrics,
+		Identity:        d.identity,
+		Configs:         d.reader,
+		Contact:         d.cell,
+		Limiter:         d.requestMetrics.countAdmitted(d.limiterPolicy()),
+		Picker:          d.pickerPolicy(),
+		PoisonMarks:     d.cell,
+		IdleTargetConns: d.limits.idleTargetConns,
+		Events:          d.recorder,
+		Metrics:         d.requestMetrics,
+		OverloadControl: d.settings.OverloadControl,
 	}
 	if a := d.adapter; a != nil {
 		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(), adapterConnsPerTarget, adapterStartWait
@@ -207,16 +219,30 @@
 	d.holderAddresses = query.NewHolderAddresses(query.HolderAddressesConfig{Identity: d.identity, Configs: d.reader, Contact: d.cell, Ownership: d.cell})
 	d.callerServer = command.NewServer(command.ServerConfig{
 		Handler: d.handler,
+		Guard:   d.guards.callers,
 		Addresses: query.NewAddresses(query.AddressesConfig{
 			Identity: d.identity,
 			Configs:  d.reader,
 			Contact:  d.cell,
 		}),
 	})
-	d.adminServer = &http.Server{
-		Handler:           query.Admin{Events: d.recorder, State: d.state, Metrics: d.metrics.Handler}.Handler(),
+	d.adminServer = d.newAdminServer(query.Admin{Events: d.recorder, State: d.state, Metrics: d.metrics.Handler}.Handler())
+}
+
+// newAdminServer returns a server for operators, or for readiness checks and address queries
+// of the adapter.
+func (d *Daemon) newAdminServer(h http.Handler) *http.Server {
+	s := &http.Server{
+		Handler:           limit.Requests(h),
 		ReadHeaderTimeout: adminHeaderTimeout,
+		ReadTimeout:       adminHeaderTimeout,
+		WriteTimeout:      adminWriteTimeout,
+		IdleTimeout:       adminIdleTimeout,
+		MaxHeaderBytes:    command.MaxHeaderBytes,
+		ConnContext:       limit.WithConn,
 	}
+	d.guards.admin.Protect(s)
+	return s
 }
 
 // storeOutage returns how long, to this VM's knowledge, the store has answered no VM of
@@ -232,7 +258,7 @@
 func (d *Daemon) source() platform.Source {
 	var source platform.Source = platform.NewHTTP(d.settings.PlatformURL, d.settings.ID, nil)
 	if d.adapter != nil {
-		source = mirror.New(d.adapter.StoreClient, d.adapter.Domains, func() *document.Index { return d.reader.Index() }, d.storeOutage, d.logger)
+		source = mirror.New(d.adapter.StoreClient, d.adapter.Domains, d.fleetKnown(), d.logger)
 	}
 	if d.partition == nil {
 		return source
@@ -273,6 +299,7 @@
 // domain.
 func (d *Daemon) onTicket(s *document.Snapshot, fromPlatform bool) {
 	d.recorder.SetTicket(s.Ticket())
+	d.storeEpochs.observe(s.Ticket())
 	if fromPlatform || !d.selfManagedMembership() {
 		d.cell.Announce()
 		return
