command: an attempt after a misdirected answer is a repeat

A target that answers 421 has received the request, but the next attempt was not marked as a repeat, so the holders did not count it; only each VM's own budget did, and with localDomains six to eight VMs in place of two to four each had half of the constant part.

Change: each answer that states that the request did not run marks the request as arrived; the constant part of a VM's own budget is divided by the VMs that callers get in all domains.

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -59,6 +59,7 @@
 	outcome       node.Outcome
 	ran           fault.Ran
 	retry         retryRule
+	arrived       bool // a target received the request, although it did not run it
 	avoidTarget   bool // later attempts avoid the target
 	retryApproved bool // mayRetry already allowed the retry
 }
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -141,7 +141,7 @@
 			ex.sent.Add(-1)
 		}
 	}
-	if f.ran != fault.RanNo || f.outcome == node.OutcomeShed {
+	if f.ran != fault.RanNo || f.arrived {
 		ex.mayHaveArrived = true
 	}
 	if f.avoidTarget {
@@ -235,6 +235,7 @@
 		outcome:     outcome,
 		ran:         fault.RanNo,
 		retry:       retryWithinBudget,
+		arrived:     true,
 		avoidTarget: true,
 	}
 }
--- a/node/daemon/adapter.go
+++ b/node/daemon/adapter.go
@@ -64,8 +64,8 @@
 	// retryMargin keeps the retries of all VMs below the platform's bound.
 	retryMargin = 0.9
 	// retryVMs is the number of VMs among which the constant part of the retry budget is
-	// divided. This local bound applies before the holders of the target groups enforce
-	// the fleet-wide one.
+	// divided, at least and for each failure domain whose callers get VMs of their own. This
+	// local bound applies before the holders of the target groups enforce the fleet-wide one.
 	retryVMs = 2
 )
 
@@ -96,9 +96,11 @@
 	return ""
 }
 
-// vmRetryBudget returns the retry budget of a single VM.
-func (a *Adapter) vmRetryBudget() command.VMRetryBudget {
-	return command.VMRetryBudget{Ratio: a.FleetRetryBudget.Share, Reserve: a.FleetRetryBudget.Reserve / retryVMs}
+// vmRetryBudget returns the retry budget of a single VM, where the callers of each of
+// localDomains failure domains get VMs of their own.
+func (a *Adapter) vmRetryBudget(localDomains int) command.VMRetryBudget {
+	vms := float64(retryVMs * max(1, localDomains))
+	return command.VMRetryBudget{Ratio: a.FleetRetryBudget.Share, Reserve: a.FleetRetryBudget.Reserve / vms}
 }
 
 // fleetRetryBudget returns the fleet-wide retry budget, reduced by the safety margin.
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -214,7 +214,7 @@
 		OverloadControl: d.settings.OverloadControl,
 	}
 	if a := d.adapter; a != nil {
-		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(), adapterConnsPerTarget, adapterStartWait
+		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(len(d.settings.LocalDomains)), adapterConnsPerTarget, adapterStartWait
 	}
 	d.handler = command.New(cfg)
 	d.holderAddresses = query.NewHolderAddresses(query.HolderAddressesConfig{Identity: d.identity, Configs: d.reader, Contact: d.cell, Ownership: d.cell})
