--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -30,9 +30,10 @@
 const adminHeaderTimeout = 5 * time.Second
 
 const (
-	// adminWriteTimeout bounds the time in which such a client reads its response.
+	// adminWriteTimeout bounds the time in which a client of the same servers reads its
+	// response.
 	adminWriteTimeout = 30 * time.Second
-	// adminIdleTimeout closes their idle connections.
+	// adminIdleTimeout is how long a connection to these servers may be idle.
 	adminIdleTimeout = time.Minute
 )
 
@@ -213,7 +214,7 @@
 		OverloadControl: d.settings.OverloadControl,
 	}
 	if a := d.adapter; a != nil {
-		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(), adapterConnsPerTarget, adapterStartWait
+		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(len(d.settings.LocalDomains)), adapterConnsPerTarget, adapterStartWait
 	}
 	d.handler = command.New(cfg)
 	d.holderAddresses = query.NewHolderAddresses(query.HolderAddressesConfig{Identity: d.identity, Configs: d.reader, Contact: d.cell, Ownership: d.cell})
