pool: the holder says whether a refused request waited in its queue

An entry VM took a refusal that arrived after more than 30 ms for one that came after a wait in the queue, which is final. On a busy VM or a slow network an immediate refusal of one group takes that long, and the request was refused although another group had free slots.

Change: the response carries the wait as the holder measured it (queued_ms); a holder of an earlier version sends none, and its refusals count as immediate, so that at most three groups are asked.

--- a/node/pool/calls.go
+++ b/node/pool/calls.go
@@ -81,6 +81,9 @@
 	}
 	if resp.Permit == 0 && resp.RefusedMs > 0 {
 		q.retryAfter.Store(int64(fromMillis(resp.RefusedMs)))
+		if fromMillis(resp.QueuedMs) >= immediateRefusal {
+			q.refusedLate.Store(true)
+		}
 	}
 	return c.acceptResponse(q, resp, call, sent, generation)
 }
--- a/node/pool/entry.go
+++ b/node/pool/entry.go
@@ -21,8 +21,8 @@
 	// the request is refused: one group may be overloaded while others have
 	// free slots.
 	maxRefusals = 3
-	// immediateRefusal is the longest time that an immediate refusal takes. A
-	// later refusal came after a wait in the queue.
+	// immediateRefusal is the longest wait in the queue of a holder, as measured there,
+	// after which a refusal still counts as immediate.
 	immediateRefusal = 30 * time.Millisecond
 	// maxQueueWait is the longest wait in the queue of one holder. A shorter
 	// wait loses the place in the queue; a longer one keeps the request at a
@@ -67,6 +67,8 @@
 	// retried, as given by a holder that refused it because of a long expected
 	// wait; 0 for none.
 	retryAfter atomic.Int64
+	// refusedLate reports whether a holder refused the request after a wait in its queue.
+	refusedLate atomic.Bool
 }
 
 // Acquire waits for a permit until ctx ends, at most defaultTimeout when ctx
@@ -149,19 +151,20 @@
 	return p.waitInQueue(ctx, order, q)
 }
 
-// waitInQueue waits at the first group that queues the request. Groups that
-// refuse it immediately are skipped, at most maxRefusals of them.
+// waitInQueue waits at the first group that queues the request. Groups that refuse it
+// immediately are skipped, at most maxRefusals of them. The holder says whether the request
+// waited in its queue: the time that the call took includes delays of both VMs and of the
+// network, for which other groups with free slots must not be left out.
 func (p *Pool) waitInQueue(ctx context.Context, order []*groupClient, q *acquireRequest) *permitUse {
 	asked := 0
 	for _, c := range order {
 		if c.unreachable(time.Now()) {
 			continue
 		}
-		began := time.Now()
 		u := p.requestPermit(ctx, c, q, q.queueTimeout())
 		asked++
-		refused := q.retryAfter.Load() > 0 && time.Since(began) < immediateRefusal
-		if u != nil || !refused || asked == maxRefusals {
+		refused := q.retryAfter.Load() > 0 && !q.refusedLate.Load()
+		if u != nil || !refused || asked == maxRefusals || ctx.Err() != nil {
 			return u
 		}
 	}
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -203,6 +203,7 @@
 	}
 	resp := h.newResponse(g, w, now)
 	resp.RefusedMs = millis(max(wait, minRetryAfter))
+	resp.QueuedMs = millis(now.Sub(w.arrivedAt))
 	return resp
 }
 
--- a/node/pool/failure_test.go
+++ b/node/pool/failure_test.go
@@ -139,6 +139,27 @@
 	}
 }
 
+// Guards against an immediate refusal that arrives late, because of a busy VM or a slow network,
+// and is taken for a refusal after a wait in the queue: the request was refused although another
+// group had free slots.
+func TestDelayedRefusalIsNotFinal(t *testing.T) {
+	s := service(6)
+	s.Placement, s.GroupSize = document.ByHealthEstimate, 2
+	// The order of the groups is random while nothing is known about their load.
+	for i := range 8 {
+		c := newTestCell(t, 2, s)
+		c.mu.Lock()
+		c.refusing = map[string]bool{"citas#0": true, "citas#1": true}
+		c.refusalDelay = 2 * immediateRefusal
+		c.mu.Unlock()
+		pt, err := c.acquire(1, 5*time.Second)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		pt.Release(node.OutcomeOK, time.Millisecond)
+	}
+}
+
 // Guards against a holder that continues to grant permits after it lost its
 // lease, and against slots that several VMs use at the same time.
 func TestManyVMsShareSlotsAcrossTakeovers(t *testing.T) {
--- a/node/pool/overload.go
+++ b/node/pool/overload.go
@@ -114,6 +114,7 @@
 	left := w.arrivedAt.Add(w.acquire.Hold).Sub(now)
 	delay := g.control.returns.Delay(wait, g.admission.GrantInterval(), left, rand.Float64(), now)
 	resp.RefusedMs = max(1, millis(delay))
+	resp.QueuedMs = millis(now.Sub(w.arrivedAt))
 	return resp
 }
 
--- a/node/pool/pool_test.go
+++ b/node/pool/pool_test.go
@@ -34,6 +34,8 @@
 	pools    []*Pool
 	events   map[event.Kind]int
 	refusing map[string]bool // groups whose holder refuses requests immediately
+	// refusalDelay is how long such a refusal takes to arrive.
+	refusalDelay time.Duration
 }
 
 // testVM implements the dependencies of the pool of one VM.
@@ -91,9 +93,10 @@
 		return nil, err
 	}
 	v.mu.Lock()
-	refuse := v.refusing[r.Group] && r.Acquire != nil
+	refuse, delay := v.refusing[r.Group] && r.Acquire != nil, v.refusalDelay
 	v.mu.Unlock()
 	if refuse {
+		time.Sleep(delay)
 		return &peerv1.ExchangePermitsResponse{Holder: true, RefusedMs: 100}, nil
 	}
 	return p.ExchangePermits(ctx, r)
