cell: the test of a graceful shutdown waits until the VM holds leases

The VMs can agree on the holders while the first VM, started late on a busy machine, holds none yet; then it has no lease to lose.

Change: the test waits until that VM has recorded a lease and all agree, and then shuts it down; its other checks are unchanged.

--- a/node/cell/cell_test.go
+++ b/node/cell/cell_test.go
@@ -144,6 +144,10 @@
 func TestCellAgreesOnHolders(t *testing.T) {
 	t.Parallel()
 	vms := startCell(t, 5)
+	// The VMs may agree before a VM that starts late has its first lease.
+	eventually(t, 10*time.Second, "the VM that shuts down holds leases", func() bool {
+		return vms[0].events.count(event.LeaseHeld) > 0 && agreeOnHolders(vms)
+	})
 	vms[0].BeginShutdown()
 	if kind := fault.KindOf(vms[0].Check()); kind != fault.ShuttingDown {
 		t.Errorf("Check of a VM that shuts down: got %v, want ShuttingDown", kind)
