pool: an acquire without a wait gets a free slot where targets are placed by health estimate

Cause: Admission admits no request whose longest wait is 0, so that with two groups or more each holder that was asked without a wait refused, also with all slots free. On an idle fleet 30 requests took 90 acquires, 60 of them refused, and each refusal counted as a request that was not served, which makes the floor spread requests to targets that are probably gray. It was mended under anticipateLoad alone.

Change: such an acquire is served in the order of the queue and not refused; the branch by setting is gone.

Result: TestFreeSlotIsGrantedWithoutWait fails before (90 acquires, 60 refused) and passes after (30 and 0); node/pool passes.

--- a/node/pool/anticipate_test.go
+++ b/node/pool/anticipate_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// Guards against the same calls without Config.AnticipateLoad, where requests ask two groups
+// before they wait.
+func TestFreeSlotIsGrantedWithoutWait(t *testing.T) {
+	s := service(6)
+	s.Placement, s.GroupSize = document.ByHealthEstimate, 2
+	c := newTestCell(t, 2, s)
+	l := &countingPeer{PermitPeer: c.pools[1].config.Peer}
+	c.pools[1].config.Peer = l
+	for range 30 {
+		c.mustAcquire(1).Release(node.OutcomeOK, time.Millisecond)
+	}
+	if l.acquires.Load() != 30 || l.refused.Load() != 0 {
+		t.Errorf("30 requests on an idle fleet took %d acquires, %d of them refused, want 30 and 0", l.acquires.Load(), l.refused.Load())
+	}
+}
+
 // Guards against requests that fail while many VMs choose at the same moment: concurrent
 // requests for all slots, each of which is used for a short time.
 func TestAnticipationServesBurst(t *testing.T) {
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -122,26 +122,26 @@
 		return
 	}
 	h.serveQueue(g)
-	if a.WaitMs == 0 {
+	if isImmediate(a) {
 		g.queue.Expire(now, func(w *waiter) { h.endWait(g, w, w == e.waiter, now) })
 	}
 }
 
 // endWait responds to a request whose time in the queue has passed. One that did not want
-// to wait is not refused; without AnticipateLoad, none is refused here.
+// to wait is not refused.
 func (h *holderActor) endWait(g *heldGroup, w *waiter, immediate bool, now time.Time) {
-	if immediate || !h.pool.config.AnticipateLoad {
+	if immediate {
 		w.finish(h.newResponse(g, w, now))
 		return
 	}
 	w.finish(h.expiredResponse(g, w, now))
 }
 
-// isImmediate reports whether an acquire does not want to wait for a slot. Without
-// AnticipateLoad, Admission refuses such an acquire even when slots are free, and counts a
-// refused request although the caller goes on to another group.
-func (h *holderActor) isImmediate(a *peerv1.PermitAcquire) bool {
-	return a.WaitMs == 0 && h.pool.config.AnticipateLoad
+// isImmediate reports whether an acquire does not want to wait for a slot. It is granted a free
+// slot in the order of the queue and is not refused otherwise, because its caller goes on to
+// another group: a refusal would count as a request that was not served.
+func isImmediate(a *peerv1.PermitAcquire) bool {
+	return a.WaitMs == 0
 }
 
 // admit decides whether a request may wait, and refuses it if not. ok is false when the
@@ -154,7 +154,7 @@
 	case g.control != nil:
 		d = h.admitWithControl(g, e, now)
 	default:
-		d = g.admitByHealth(a, e.waiter.due, h.isImmediate(a), now)
+		d = g.admitByHealth(a, e.waiter.due, isImmediate(a), now)
 	}
 	if d.withheld && g.control != nil {
 		g.control.withheld++
--- a/node/pool/overload.go
+++ b/node/pool/overload.go
@@ -58,12 +58,8 @@
 	w := waitRequest(a)
 	w.Wait = min(w.Wait, place.Wait)
 	d.deadline, d.expected, d.admitted = g.admission.Admit(w, g.queue.Ahead(d.due), g.queue.Len(), answer, now)
-	switch {
-	case h.isImmediate(a):
+	if isImmediate(a) {
 		d.deadline, d.admitted = now, true
-	case a.WaitMs == 0:
-		// Admit allows no request without a wait, even when a slot is free.
-		d.admitted = d.expected == 0 && left > answer
 	}
 	if a.Repeat {
 		share := repeatShare(a, overload.Request{
