--- a/core/target/anticipate.go
+++ b/core/target/anticipate.go
@@ -184,12 +184,27 @@
 	if len(order) == 0 {
 		return GroupOrder{}
 	}
-	first := loads[order[0]]
-	room := rooms[order[0]]
-	if first.Remote {
+	return GroupOrder{order, expectsFreeSlot(loads[order[0]], rooms[order[0]])}
+}
+
+// expectsFreeSlot reports whether a group with the given expected room is expected to have
+// a free slot.
+func expectsFreeSlot(l EstimatedLoad, room float64) bool {
+	if l.Remote {
 		room += remoteDomainPenalty
 	}
-	return GroupOrder{order, room*float64(first.Slots) >= 1}
+	return room*float64(l.Slots) >= 1
+}
+
+// hasRemote reports whether some groups are remote, so that all are asked in the order of
+// their expected room.
+func hasRemote(loads []EstimatedLoad) bool {
+	return slices.ContainsFunc(loads, func(l EstimatedLoad) bool { return l.Remote })
+}
+
+// sortByRoom sorts indices of groups by descending expected room.
+func sortByRoom(order []int, rooms []float64) {
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rooms[b], rooms[a]) })
 }
 
 // orderByRoom returns the order of OrderGroups for the given expected rooms.
@@ -198,8 +213,8 @@
 	for i := range order {
 		order[i] = i
 	}
-	if slices.ContainsFunc(loads, func(l EstimatedLoad) bool { return l.Remote }) {
-		slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rooms[b], rooms[a]) })
+	if hasRemote(loads) {
+		sortByRoom(order, rooms)
 		return order
 	}
 	for i := range min(2, len(order)) {
@@ -212,7 +227,7 @@
 	if rooms[order[1]] > rooms[order[0]] {
 		order[0], order[1] = order[1], order[0]
 	}
-	slices.SortStableFunc(order[1:], func(a, b int) int { return cmp.Compare(rooms[b], rooms[a]) })
+	sortByRoom(order[1:], rooms)
 	return order
 }
 
--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -100,21 +100,39 @@
 	var best *state
 	var bestCost float64
 	for _, s := range h.targets {
-		if !h.usable(s, now) || s.inUse >= h.limit(s) {
-			continue
-		}
-		if slices.Contains(a.Avoid, s.doc.ID) || s.avoids(a.Caller.VM, now) {
+		if h.excludedFromSpread(s, a, now) != NotExcluded {
 			continue
 		}
 		cost := h.cost(s)
-		better := best == nil || cost < bestCost || (cost == bestCost && s.lastGrant.Before(best.lastGrant))
-		if better {
+		if best == nil || cheaper(s, cost, best, bestCost) {
 			best, bestCost = s, cost
 		}
 	}
 	return best
 }
 
+// excludedFromSpread returns why s may not get the request where targets are chosen by
+// load.
+func (h *Holder) excludedFromSpread(s *state, a AcquireRequest, now time.Time) Exclusion {
+	switch e := h.unusable(s, now); {
+	case e != NotExcluded:
+		return e
+	case s.inUse >= h.limit(s):
+		return ExcludedFull
+	case slices.Contains(a.Avoid, s.doc.ID):
+		return ExcludedAvoided
+	case s.avoids(a.Caller.VM, now):
+		return ExcludedPath
+	}
+	return NotExcluded
+}
+
+// cheaper reports whether s is chosen before other by cost, and at equal cost by the time
+// of the last grant.
+func cheaper(s *state, cost float64, other *state, otherCost float64) bool {
+	return cost < otherCost || (cost == otherCost && s.lastGrant.Before(other.lastGrant))
+}
+
 // cost is the load of s, with outliers ranked last. The new request is not included
 // in the load, so that an idle cold target competes with idle warm ones; otherwise,
 // at low load, it would never get the requests that warm it.
@@ -128,16 +146,33 @@
 
 // usable reports whether s may get permits at all.
 func (h *Holder) usable(s *state, now time.Time) bool {
-	if h.placesByHealth() {
-		return s.open
-	}
-	if !h.takeover.ready {
-		return false
+	return h.unusable(s, now) == NotExcluded
+}
+
+// unusable returns why s may not get permits at all.
+func (h *Holder) unusable(s *state, now time.Time) Exclusion {
+	closed := !s.open && (h.placesByHealth() || h.defect != DefectLeaving)
+	switch {
+	case !h.placesByHealth() && !h.takeover.ready:
+		return ExcludedTakeover
+	case closed:
+		return h.closedBy(s)
+	case h.placesByHealth():
+		return NotExcluded
+	case s.eject.active:
+		return ExcludedEjected
+	case h.defect != DefectLeaving && h.hasUnreportedPermits(s, now):
+		return ExcludedUnreported
 	}
-	if h.defect == DefectLeaving {
-		return !s.eject.active
+	return NotExcluded
+}
+
+// closedBy returns why a target that is not open is closed.
+func (h *Holder) closedBy(s *state) Exclusion {
+	if h.view.OutDomains[s.doc.FailureDomain] {
+		return ExcludedDomainOut
 	}
-	return s.open && !s.eject.active && !h.hasUnreportedPermits(s, now)
+	return ExcludedDraining
 }
 
 // Release ends permits. All outcomes of one permit come in the same call. Unknown
--- a/core/target/health.go
+++ b/core/target/health.go
@@ -284,22 +284,41 @@
 // may get the request now.
 func (h *Holder) chooseByHealth(a AcquireRequest, now time.Time) *state {
 	candidates := h.candidates(a, now)
-	hasHealthy := slices.ContainsFunc(candidates, func(c candidate) bool { return c.gray < grayLimit })
+	hasHealthy := slices.ContainsFunc(candidates, candidate.isHealthy)
 	var best *state
 	bestCost := math.Inf(1)
 	sheds := h.shedTotals(now)
 	for _, c := range candidates {
-		if !h.hasCapacity(c, a.Overdue, now) || hasHealthy && !c.maySend(a, now) {
+		if h.excludedByHealth(c, a, hasHealthy, now) != NotExcluded {
 			continue
 		}
-		cost := c.expectedLoss(a, h.loadShare(c, now), now) + h.expectedShedLoss(c.state, sheds, now)
-		if cost < bestCost {
+		if cost := h.healthCost(c, a, sheds, now); cost < bestCost {
 			best, bestCost = c.state, cost
 		}
 	}
 	return best
 }
 
+// excludedByHealth returns why a candidate may not get the request now. HasHealthy is true
+// when a candidate is below grayLimit.
+func (h *Holder) excludedByHealth(c candidate, a AcquireRequest, hasHealthy bool, now time.Time) Exclusion {
+	switch {
+	case c.busySlots >= h.slotLimitFor(c.state, a.Overdue, now):
+		return ExcludedFull
+	case c.health.recentGrants(now) >= h.rateLimit(c.state, now):
+		return ExcludedRate
+	case hasHealthy && !c.maySend(a, now):
+		return ExcludedGray
+	}
+	return NotExcluded
+}
+
+// healthCost returns the expected loss of the request at a candidate, where sheds are those
+// of the group.
+func (h *Holder) healthCost(c candidate, a AcquireRequest, sheds shedCounts, now time.Time) float64 {
+	return c.expectedLoss(a, h.loadShare(c, now), now) + h.expectedShedLoss(c.state, sheds, now)
+}
+
 // candidates returns the open targets that the request does not have to avoid.
 func (h *Holder) candidates(a AcquireRequest, now time.Time) []candidate {
 	out := make([]candidate, 0, len(h.targets))
@@ -339,9 +358,9 @@
 	return idle >= unusablePause || c.gray < unusableLimit && len(c.running) == 0
 }
 
-// hasCapacity reports whether the target has a free slot and is below its rate limit.
-func (h *Holder) hasCapacity(c candidate, overdue bool, now time.Time) bool {
-	return c.busySlots < h.slotLimitFor(c.state, overdue, now) && c.health.recentGrants(now) < h.rateLimit(c.state, now)
+// isHealthy reports whether the target is probably not gray.
+func (c candidate) isHealthy() bool {
+	return c.gray < grayLimit
 }
 
 // freeHealthySlots returns the number of free slots of targets that are not probably gray. The
--- a/core/target/locality.go
+++ b/core/target/locality.go
@@ -41,3 +41,27 @@
 	}
 	return room
 }
+
+// Expected returns the expected numbers of free slots and waiting requests. Outdated
+// figures count as at least one free slot, so that each group is asked again after a
+// while. A group whose holder is unreachable counts as -1 free slots.
+func (l GroupLoad) Expected() (free, queued int) {
+	switch {
+	case l.Unreachable:
+		return -1, 0
+	case l.Outdated:
+		return max(1, l.Free), 0
+	}
+	return l.Free, l.Queued
+}
+
+// LessLoaded reports whether the group is expected to have more free slots than other, or
+// as many and a shorter queue.
+func (l GroupLoad) LessLoaded(other GroupLoad) bool {
+	free, queued := l.Expected()
+	otherFree, otherQueued := other.Expected()
+	if free != otherFree {
+		return free > otherFree
+	}
+	return queued < otherQueued
+}
