core: read-only previews of splits, tokens, queues and overload order

The query that explains a request may not consume tokens, places in queues or turns of a split. Each preview runs the code of the decision on a copy: Splitter.Next, Cache.Usable, Bucket.LevelAt, Queue.Verdict, Order.ForQuery and Deadlines.ForQuery. Queue.Push keeps a single scan of the flows when the queue is full.

--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -136,16 +136,41 @@
 	if e.Wait <= 0 {
 		e.Wait = q.ExpectedWait(e.Flow)
 	}
+	r, longest := q.verdict(e, now)
+	if r != Accepted {
+		return nil, r
+	}
+	if longest != nil {
+		q.dropNewest(longest)
+	}
+	return q.insert(e), Accepted
+}
+
+// Verdict returns the result that Push would have, and leaves the queue unchanged.
+func (q *Queue[T]) Verdict(e Entry[T], now time.Time) Result {
+	if e.Wait <= 0 {
+		e.Wait = q.ExpectedWait(e.Flow)
+	}
+	r, _ := q.verdict(e, now)
+	return r
+}
+
+// verdict returns the result of Push for an entry whose wait is set, and the flow that
+// loses its newest entry to it; nil for none.
+func (q *Queue[T]) verdict(e Entry[T], now time.Time) (r Result, longest *flow[T]) {
 	if !e.Deadline.IsZero() && !now.Add(e.Wait).Before(e.Deadline) {
-		return nil, Late
+		return Late, nil
 	}
 	if q.FlowLen(e.Flow) >= q.limits.PerFlow {
-		return nil, FlowFull
+		return FlowFull, nil
 	}
-	if q.length >= q.limits.Total && !q.displace(e.Flow) {
-		return nil, QueueFull
+	if q.length < q.limits.Total {
+		return Accepted, nil
 	}
-	return q.insert(e), Accepted
+	if longest = q.displaceable(e.Flow); longest == nil {
+		return QueueFull, nil
+	}
+	return Accepted, longest
 }
 
 func (q *Queue[T]) insert(e Entry[T]) *Item[T] {
@@ -164,10 +189,9 @@
 	return it
 }
 
-// displace drops the newest entry of the longest flow, if that flow is afterwards
-// at least as long as the named flow will be with its new entry. It reports
-// whether an entry was dropped.
-func (q *Queue[T]) displace(name string) bool {
+// displaceable returns the longest flow if it is, without its newest entry, still at least
+// as long as the named flow will be with its new entry; else nil.
+func (q *Queue[T]) displaceable(name string) *flow[T] {
 	var longest *flow[T]
 	for at := q.active.Front(); at != nil; at = at.Next() {
 		f := at.Value.(*flow[T])
@@ -176,12 +200,16 @@
 		}
 	}
 	if longest == nil || longest.items.Len() < q.FlowLen(name)+2 {
-		return false
+		return nil
 	}
-	victim := longest.items.Back().Value.(*Item[T])
+	return longest
+}
+
+// dropNewest drops the newest entry of a flow.
+func (q *Queue[T]) dropNewest(f *flow[T]) {
+	victim := f.items.Back().Value.(*Item[T])
 	q.remove(victim)
 	q.drops = append(q.drops, Drop[T]{victim.entry.Value, QueueFull})
-	return true
 }
 
 // Pop removes and returns the next entry in fair order. Expired entries are
--- a/core/fair/fair_test.go
+++ b/core/fair/fair_test.go
@@ -11,7 +11,8 @@
 var start = time.Unix(1000, 0)
 
 // Guards against entries that are lost, served twice, served after their deadline
-// or served after cancellation, and against queues that exceed their limits.
+// or served after cancellation, against queues that exceed their limits, and against an
+// announced result that differs from that of the push.
 func TestEachEntryLeavesOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := Limits{PerFlow: rapid.IntRange(1, 6).Draw(t, "perFlow"), Total: rapid.IntRange(1, 12).Draw(t, "total")}
@@ -31,7 +32,12 @@
 			case 0, 1:
 				life := time.Duration(rapid.IntRange(1, 60).Draw(t, "life")) * time.Millisecond
 				e := Entry[int]{Flow: fmt.Sprint(step % 3), Value: next, Cost: 1 + step%2, Deadline: now.Add(life)}
-				if it, v := q.Push(e, now); v == Accepted {
+				verdict := q.Verdict(e, now)
+				it, v := q.Push(e, now)
+				if v != verdict {
+					t.Fatalf("push of entry %d: got %s, announced %s", next, v, verdict)
+				}
+				if v == Accepted {
 					waiting[next], deadline[next] = it, e.Deadline
 				}
 				next++
--- a/core/overload/deadlines.go
+++ b/core/overload/deadlines.go
@@ -58,6 +58,18 @@
 	return elapsed
 }
 
+// ForQuery returns a copy that knows one route, to try out decisions on its requests
+// without a change of d.
+func (d *Deadlines) ForQuery(route string) Deadlines {
+	c := Deadlines{routes: map[string]*routeDeadlines{}}
+	if r := d.routes[route]; r != nil {
+		copied := *r
+		copied.recent = slices.Clone(r.recent)
+		c.routes[route] = &copied
+	}
+	return c
+}
+
 // record adds a deadline and computes the first one again from time to time.
 func (r *routeDeadlines) record(left time.Duration) {
 	if len(r.recent) < recentDeadlines {
--- a/core/overload/order.go
+++ b/core/overload/order.go
@@ -71,6 +71,18 @@
 	return p
 }
 
+// ForQuery returns a copy that knows one workspace, to try out decisions on its requests
+// without a change of o.
+func (o *Order) ForQuery(workspace string) Order {
+	c := *o
+	c.demand.workspaces = map[string]*workspaceDemand{}
+	if w := o.demand.workspaces[workspace]; w != nil {
+		copied := *w
+		c.demand.workspaces[workspace] = &copied
+	}
+	return c
+}
+
 // Excess returns the number of requests in excess of the usual demand of their
 // workspaces.
 func (o *Order) Excess() uint64 {
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -130,3 +130,28 @@
 		previous = d
 	}
 }
+
+// Guards against a copy for a query that decides otherwise than the request that follows, or
+// that changes what it was copied from.
+func TestCopiesForQueriesDecideAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var asked, other Order
+		var deadlines Deadlines
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			a := Arrival{
+				Workspace: rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "workspace"),
+				DueAfter:  time.Second, Deadline: time.Duration(rapid.IntRange(1, 9).Draw(t, "s")) * time.Second,
+			}
+			copied, known := asked.ForQuery(a.Workspace), deadlines.ForQuery("r")
+			place, elapsed := copied.Arrive(a, now), known.Elapsed("r", a.Deadline, now)
+			if got := asked.Arrive(a, now); got != place || got != other.Arrive(a, now) {
+				t.Fatalf("place %+v, announced %+v", got, place)
+			}
+			if got := deadlines.Elapsed("r", a.Deadline, now); got != elapsed {
+				t.Fatalf("elapsed %v, announced %v", got, elapsed)
+			}
+		}
+	})
+}
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -76,6 +76,14 @@
 	return b.level
 }
 
+// LevelAt returns the number of tokens that the bucket holds after Advance with the same
+// arguments, and leaves the bucket unchanged.
+func (b *Bucket) LevelAt(h *FractionHistory, l Limit) float64 {
+	advanced := *b
+	advanced.Advance(h, l)
+	return advanced.level
+}
+
 // Lifetime returns how long a token is valid after it is issued.
 func (b *Bucket) Lifetime() time.Duration {
 	return b.params.Lifetime
--- a/core/quota/cache.go
+++ b/core/quota/cache.go
@@ -62,6 +62,11 @@
 	count int
 }
 
+// expired reports whether the tokens of the batch may no longer be used.
+func (b batch) expired(now time.Time) bool {
+	return !now.Before(b.Deadline)
+}
+
 // RecordDemand records the arrival of one request. It is called once for each
 // request, before Take.
 func (c *Cache) RecordDemand(now time.Time) {
@@ -100,7 +105,7 @@
 
 // Expire drops the tokens whose deadline has passed.
 func (c *Cache) Expire(now time.Time) {
-	for len(c.batches) > 0 && !now.Before(c.batches[0].Deadline) {
+	for len(c.batches) > 0 && c.batches[0].expired(now) {
 		c.available -= c.batches[0].count
 		c.totals.Expired += uint64(c.batches[0].count)
 		c.batches = slices.Delete(c.batches, 0, 1)
@@ -210,6 +215,18 @@
 	return c.available
 }
 
+// Usable returns the number of tokens that have not expired, and leaves the cache
+// unchanged.
+func (c *Cache) Usable(now time.Time) int {
+	n := 0
+	for _, b := range c.batches {
+		if !b.expired(now) {
+			n += b.count
+		}
+	}
+	return n
+}
+
 // rateEstimate is an exponentially decaying estimate of events per second.
 type rateEstimate struct {
 	perSecond float64
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -340,3 +340,30 @@
 		}
 	})
 }
+
+// Guards against figures for operators that count expired tokens, differ from the tokens
+// that can be taken, or change what they describe.
+func TestReportedTokensCanBeTaken(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var c Cache
+	c.Receive(Response{Batch: 1, Want: 2, Issued: 2, Sent: now, Lifetime: 50 * time.Millisecond}, now)
+	c.Receive(Response{Batch: 2, Want: 3, Issued: 3, Sent: now, Lifetime: time.Second}, now)
+	before := c.Totals()
+	if early, late := c.Usable(now), c.Usable(now.Add(60*time.Millisecond)); early != 5 || late != 3 || c.Totals() != before || c.Available() != 5 {
+		t.Errorf("%d tokens, then %d, want 5 and 3; cache %+v", early, late, c)
+	}
+	var h FractionHistory
+	l := Limit{Rate: 100, Burst: 40}
+	b := NewBucket(&h, l)
+	for i := range 10 {
+		at := now.Add(time.Duration(i) * MaxGap)
+		h.Observe(at, at, 1, 1)
+		announced, unchanged := b.LevelAt(&h, l), *b
+		if announced != b.LevelAt(&h, l) || *b != unchanged {
+			t.Fatal("reading the level changed the bucket")
+		}
+		if b.Advance(&h, l); b.Level() != announced {
+			t.Fatalf("level %v, announced %v", b.Level(), announced)
+		}
+	}
+}
--- a/core/route/split.go
+++ b/core/route/split.go
@@ -41,6 +41,21 @@
 	return state.next()
 }
 
+// Next returns the service that Service would return for the next request of r, without
+// counting a request.
+func (s *Splitter) Next(r *document.Route) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tried := &splitState{split: r.Split, credit: make([]float64, len(r.Split))}
+	if state := s.routes[r.ID]; state != nil && slices.Equal(state.split, r.Split) {
+		copy(tried.credit, state.credit)
+	}
+	return tried.next()
+}
+
 // next adds its weight to the credit of each service, and returns the service with
 // the highest credit, which pays the sum of all weights.
 func (s *splitState) next() string {
--- a/core/route/split_test.go
+++ b/core/route/split_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against services of a split whose share of the requests does not match their
-// weight.
+// weight, and against an announced next service that differs from the one that follows.
 func TestSplitSharesFollowWeights(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		weights := rapid.SliceOfN(rapid.Float64Range(0.01, 100), 1, 5).Draw(t, "weights")
@@ -24,7 +24,12 @@
 		counts := map[string]int{}
 		n := rapid.IntRange(1, 300).Draw(t, "requests")
 		for range n {
-			counts[s.Service(r)]++
+			expected := s.Next(r)
+			got := s.Service(r)
+			if got != expected {
+				t.Fatalf("the next service was given as %s, the request got %s", expected, got)
+			}
+			counts[got]++
 		}
 		for _, part := range r.Split {
 			want := float64(n) * part.Weight / total
