--- a/cmd/galenasail/main.go
+++ b/cmd/galenasail/main.go
@@ -63,6 +63,7 @@
 		newStateCommand(),
 		newTimelineCommand(),
 		newRequestCommand(),
+		newExplainCommand(),
 		newDemoCommand(),
 		newExampleCommand(),
 		newCapacityCommand(),
--- a/cmd/internal/adminclient/client.go
+++ b/cmd/internal/adminclient/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/galenasail/galenasail/core/event"
+	"github.com/galenasail/galenasail/node/explain"
 	"github.com/galenasail/galenasail/node/query"
 )
 
@@ -50,6 +52,15 @@
 	return s, trace.Wrap(err)
 }
 
+// Explain returns where the VM would send a request, and why. It returns an error if the VM
+// does not answer or refuses the query.
+func (c *Client) Explain(ctx context.Context, r explain.Request) (explain.Result, error) {
+	parameters := url.Values{"method": {r.Method}, "url": {r.URL}, "from": {r.From}, "workspace": {r.Workspace}}
+	var result explain.Result
+	err := c.get(ctx, "explain?"+parameters.Encode(), &result)
+	return result, trace.Wrap(err)
+}
+
 // Sample is a page of events and the local times between which the VM produced it.
 type Sample struct {
 	// Page is the answer of the VM.
@@ -91,8 +102,8 @@
 
 // get decodes the JSON answer for a path below /galenasail/v1/ into v.
 func (c *Client) get(ctx context.Context, path string, v any) error {
-	url := "http://" + c.address + "/galenasail/v1/" + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	address := "http://" + c.address + "/galenasail/v1/" + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -126,19 +126,38 @@
 // with Mark, Clear or ReleaseProbe.
 func (t *Table) Allow(fingerprint uint64, now time.Time) (ok, probe bool, wait time.Duration) {
 	e := t.find(fingerprint, now)
-	switch {
-	case e == nil || !e.poisoned:
+	if e == nil || !e.poisoned {
 		return true, false, 0
-	case now.Before(e.quarantinedUntil):
-		return false, false, e.quarantinedUntil.Sub(now)
-	case e.probing && now.Sub(e.probedAt) < ProbeTimeout:
-		return false, false, e.probedAt.Add(ProbeTimeout).Sub(now)
+	}
+	if wait := e.wait(now); wait > 0 {
+		return false, false, wait
 	}
 	e.probing = true
 	e.probedAt = now
 	return true, true, 0
 }
 
+// Wait returns for how long Allow would refuse a request, 0 if it would not, and leaves the
+// table unchanged.
+func (t *Table) Wait(fingerprint uint64, now time.Time) time.Duration {
+	e := t.entries[fingerprint]
+	if e == nil || !e.poisoned || !now.Before(e.keepUntil()) {
+		return 0
+	}
+	return e.wait(now)
+}
+
+// wait returns how long no request with the poisoned fingerprint is sent to a target.
+func (e *entry) wait(now time.Time) time.Duration {
+	switch {
+	case now.Before(e.quarantinedUntil):
+		return e.quarantinedUntil.Sub(now)
+	case e.probing && now.Sub(e.probedAt) < ProbeTimeout:
+		return e.probedAt.Add(ProbeTimeout).Sub(now)
+	}
+	return 0
+}
+
 // Clear removes a fingerprint whose probe was answered.
 func (t *Table) Clear(fingerprint uint64) {
 	delete(t.entries, fingerprint)
--- a/core/target/due_queue.go
+++ b/core/target/due_queue.go
@@ -83,16 +83,13 @@
 // Push adds a request. It returns false when the queue or the workspace's part of it
 // is full.
 func (q *DueQueue[T]) Push(workspace string, due, deadline time.Time, v T) bool {
-	own := 0
-	for _, e := range q.waiting {
-		if e.workspace == workspace {
-			own++
-		}
-	}
-	due = due.Add(time.Duration(own) * workspaceDelay)
-	if own >= q.perWorkspace || len(q.waiting) >= q.total && !q.evictAfter(due) {
+	due, ok := q.place(workspace, due)
+	if !ok {
 		return false
 	}
+	if len(q.waiting) >= q.total {
+		q.evictLast()
+	}
 	q.seq++
 	e := dueEntry[T]{workspace, due, q.seq, deadline, v}
 	at, _ := slices.BinarySearchFunc(q.waiting, e, compareDue[T])
@@ -100,17 +97,38 @@
 	return true
 }
 
-// evictAfter drops the request that is due last if it is due after the given time, and
-// reports whether it did.
-func (q *DueQueue[T]) evictAfter(due time.Time) bool {
-	last := len(q.waiting) - 1
-	if q.rules.Evicted == nil || last < 0 || !q.waiting[last].due.After(due) {
-		return false
+// HasRoom reports whether Push would add a request.
+func (q *DueQueue[T]) HasRoom(workspace string, due time.Time) bool {
+	_, ok := q.place(workspace, due)
+	return ok
+}
+
+// place returns the due time by which a new request is ordered, and whether there is room
+// for it.
+func (q *DueQueue[T]) place(workspace string, due time.Time) (ordered time.Time, ok bool) {
+	own := 0
+	for _, e := range q.waiting {
+		if e.workspace == workspace {
+			own++
+		}
 	}
+	ordered = due.Add(time.Duration(own) * workspaceDelay)
+	return ordered, own < q.perWorkspace && (len(q.waiting) < q.total || q.mayEvict(ordered))
+}
+
+// mayEvict reports whether a request with the given due time may take the place of the one
+// that is due last.
+func (q *DueQueue[T]) mayEvict(due time.Time) bool {
+	last := len(q.waiting) - 1
+	return q.rules.Evicted != nil && last >= 0 && q.waiting[last].due.After(due)
+}
+
+// evictLast drops the request that is due last.
+func (q *DueQueue[T]) evictLast() {
+	last := len(q.waiting) - 1
 	v := q.waiting[last].value
 	q.waiting = q.waiting[:last]
 	q.rules.Evicted(v)
-	return true
 }
 
 // Serve offers slots to requests in the order of due times until maxRefusals requests
--- a/core/target/queue.go
+++ b/core/target/queue.go
@@ -16,6 +16,8 @@
 	// Push adds an element that should be served by due and may wait until deadline. It
 	// returns false when the workspace or the queue is full.
 	Push(workspace string, due, deadline time.Time, v T) bool
+	// HasRoom reports whether Push would add an element, and leaves the queue unchanged.
+	HasRoom(workspace string, due time.Time) bool
 	// Serve offers elements to take in the order of the queue. An element leaves the
 	// queue when take returns true; Serve returns when take has refused enough elements
 	// that the rest are unlikely to be accepted.
@@ -66,27 +68,38 @@
 // Push adds an element that waits until deadline. It returns false when the workspace
 // or the queue is full.
 func (q *RoundRobinQueue[T]) Push(workspace string, _, deadline time.Time, v T) bool {
-	if q.length >= q.total {
+	t := q.find(workspace)
+	if !q.hasRoom(t) {
 		return false
 	}
-	t := q.queueOf(workspace)
-	if len(t.waiting) >= q.perWorkspace {
-		return false
+	if t == nil {
+		t = &workspaceQueue[T]{workspace: workspace}
+		q.order = append(q.order, t)
 	}
 	t.waiting = append(t.waiting, element[T]{deadline, v})
 	q.length++
 	return true
 }
 
-func (q *RoundRobinQueue[T]) queueOf(workspace string) *workspaceQueue[T] {
+// HasRoom reports whether Push would add an element. Due times do not matter.
+func (q *RoundRobinQueue[T]) HasRoom(workspace string, _ time.Time) bool {
+	return q.hasRoom(q.find(workspace))
+}
+
+// hasRoom reports whether the queue has room for an element of a workspace with the queue
+// t, nil for none.
+func (q *RoundRobinQueue[T]) hasRoom(t *workspaceQueue[T]) bool {
+	return q.length < q.total && (t == nil || len(t.waiting) < q.perWorkspace)
+}
+
+// find returns the queue of a workspace; nil for none.
+func (q *RoundRobinQueue[T]) find(workspace string) *workspaceQueue[T] {
 	for _, t := range q.order {
 		if t.workspace == workspace {
 			return t
 		}
 	}
-	t := &workspaceQueue[T]{workspace: workspace}
-	q.order = append(q.order, t)
-	return t
+	return nil
 }
 
 // Serve offers the oldest element of each workspace in turn until each workspace's
--- a/node/command/admit.go
+++ b/node/command/admit.go
@@ -23,15 +23,12 @@
 // admit validates, routes and authenticates the request. An error means that
 // nothing was sent to a target.
 func (ex *exchange) admit() error {
-	if ex.h.draining.Load() {
-		return fault.New(fault.ShuttingDown, "this VM is shutting down")
-	}
-	if err := ex.h.cfg.Contact.Check(); err != nil {
+	if err := ex.h.checkAccepting(); err != nil {
 		return err
 	}
 	current := ex.h.currentIndex()
 	if current == nil {
-		return fault.New(fault.NotReady, "no configuration is in force yet")
+		return errNoConfiguration()
 	}
 	ex.snapshot = current.snapshot
 	if err := validateRequest(ex.r); err != nil {
@@ -39,7 +36,7 @@
 	}
 	rt, ok := current.routes.Match(ex.r.Host, ex.r.Method, ex.r.URL.Path)
 	if !ok {
-		return fault.New(fault.NoRoute, "no route for this method and path")
+		return errNoRoute()
 	}
 	ex.route = rt
 	ex.service = ex.snapshot.Services[current.splitter.Service(rt)]
@@ -58,6 +55,22 @@
 	return ex.readIdempotencyKey()
 }
 
+// checkAccepting returns an error while this VM may not accept requests.
+func (h *Handler) checkAccepting() error {
+	if h.draining.Load() {
+		return fault.New(fault.ShuttingDown, "this VM is shutting down")
+	}
+	return h.cfg.Contact.Check()
+}
+
+func errNoConfiguration() error {
+	return fault.New(fault.NotReady, "no configuration is in force yet")
+}
+
+func errNoRoute() error {
+	return fault.New(fault.NoRoute, "no route for this method and path")
+}
+
 // validateRequest refuses requests that cannot be forwarded safely.
 func validateRequest(r *http.Request) error {
 	size := len(r.RequestURI) + len(r.Host)
@@ -101,17 +114,25 @@
 	if ex.workspace != nil {
 		ex.held.Assign(ex.workspace.ID)
 	}
-	if ex.route.Open {
+	if err := authorize(ex.route, ex.workspace); err != nil {
+		return err
+	}
+	if !ex.route.Open && containsKey(ex.workspace.ID, key) {
+		return fault.New(fault.Unauthorized, "the workspace's ID contains the key, so targets would see it")
+	}
+	return nil
+}
+
+// authorize checks that requests of workspace w, nil for none, may use route rt.
+func authorize(rt *document.Route, w *document.Workspace) error {
+	if rt.Open {
 		return nil
 	}
-	if ex.workspace == nil {
+	if w == nil {
 		return fault.New(fault.Unauthorized, "the key is missing or not valid")
 	}
-	if !routeAllows(ex.route, ex.workspace) {
-		return fault.New(fault.Forbidden, "workspace %s may not use this route", ex.workspace.ID)
-	}
-	if containsKey(ex.workspace.ID, key) {
-		return fault.New(fault.Unauthorized, "the workspace's ID contains the key, so targets would see it")
+	if !routeAllows(rt, w) {
+		return fault.New(fault.Forbidden, "workspace %s may not use this route", w.ID)
 	}
 	return nil
 }
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -108,13 +108,18 @@
 // dueAfter returns the time after arrival by which a queued request should get a
 // target: the latency objective of its route, multiplied for lower priorities.
 func (ex *exchange) dueAfter() time.Duration {
+	return dueAfter(ex.route, ex.workspace)
+}
+
+// dueAfter returns the due time of requests of workspace w, nil for none, to route rt.
+func dueAfter(rt *document.Route, w *document.Workspace) time.Duration {
 	objective := defaultObjective
-	if ex.route.ObjectiveMs > 0 {
-		objective = time.Duration(ex.route.ObjectiveMs) * time.Millisecond
+	if rt.ObjectiveMs > 0 {
+		objective = time.Duration(rt.ObjectiveMs) * time.Millisecond
 	}
-	factor := 1 + routePriorityStep*float64(ex.route.Priority)
-	if ex.workspace != nil {
-		factor += workspacePriorityStep * float64(ex.workspace.Priority)
+	factor := 1 + routePriorityStep*float64(rt.Priority)
+	if w != nil {
+		factor += workspacePriorityStep * float64(w.Priority)
 	}
 	return time.Duration(factor * float64(objective))
 }
--- a/node/command/notices.go
+++ b/node/command/notices.go
@@ -161,15 +161,32 @@
 	if len(all) == 0 {
 		return nil
 	}
+	return t.bound(service, now)
+}
+
+// bound returns the IDs of the targets of a service that a notice binds now. mu must be held.
+func (t *targetNotices) bound(service *document.Service, now time.Time) []string {
+	all := t.byService[service.Name]
 	var ids []string
 	for _, target := range service.Targets {
-		if n := all[target.ID]; n != nil && n.binds(target.Process) {
+		if n := all[target.ID]; n != nil && n.binds(target.Process) && now.Before(n.until()) {
 			ids = append(ids, target.ID)
 		}
 	}
 	return ids
 }
 
+// explainUnwanted returns the same IDs as unwanted without dropping notices, and the time
+// until the first pause of the service ends; 0 for none.
+func (t *targetNotices) explainUnwanted(service *document.Service, now time.Time) (ids []string, pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if first := t.firstPauseEnd(service.Name, now); !first.IsZero() {
+		pause = first.Sub(now)
+	}
+	return t.bound(service, now), pause
+}
+
 // withReturnTime returns err, and for a request that no target may get, with the time until the
 // first pause of the service ends.
 func (t *targetNotices) withReturnTime(service string, err error, now time.Time) error {
@@ -178,16 +195,27 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	first := t.firstPauseEnd(service, now)
+	if first.IsZero() {
+		return err
+	}
+	wait := first.Sub(now)
+	wait += time.Duration(returnSpread * rand.Float64() * float64(wait))
+	return errPaused(service, wait)
+}
+
+// firstPauseEnd returns when the first pause of a service ends; zero for none. mu must be
+// held.
+func (t *targetNotices) firstPauseEnd(service string, now time.Time) time.Time {
 	var first time.Time
 	for _, n := range t.byService[service] {
 		if now.Before(n.pausedUntil) && n.leavingUntil.IsZero() && (first.IsZero() || n.pausedUntil.Before(first)) {
 			first = n.pausedUntil
 		}
 	}
-	if first.IsZero() {
-		return err
-	}
-	wait := first.Sub(now)
-	wait += time.Duration(returnSpread * rand.Float64() * float64(wait))
+	return first
+}
+
+func errPaused(service string, wait time.Duration) error {
 	return fault.NewWithDelay(fault.NoCapacity, wait, "each target of service %s is closed, failed the request or asked for a pause", service)
 }
--- a/node/command/outcomes.go
+++ b/node/command/outcomes.go
@@ -36,3 +36,15 @@
 	f := o.byService[service]
 	return f != nil && f.Failing(now)
 }
+
+// explainFailing returns the same as failing on a copy of the counts.
+func (o *serviceOutcomes) explainFailing(service string, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.byService[service]
+	if f == nil {
+		return false
+	}
+	copied := *f
+	return copied.Failing(now)
+}
--- a/node/command/quarantine.go
+++ b/node/command/quarantine.go
@@ -56,11 +56,25 @@
 	defer q.mu.Unlock()
 	ok, probe, wait := q.table.Allow(fingerprint, time.Now())
 	if !ok {
-		return false, fault.NewWithDelay(fault.Poisoned, wait, "the request is quarantined because it lost its connection at several targets")
+		return false, errQuarantined(wait)
 	}
 	return probe, nil
 }
 
+func errQuarantined(wait time.Duration) error {
+	return fault.NewWithDelay(fault.Poisoned, wait, "the request is quarantined because it lost its connection at several targets")
+}
+
+// explain returns the error that allow would return, without starting a probe.
+func (q *quarantine) explain(fingerprint uint64) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if wait := q.table.Wait(fingerprint, time.Now()); wait > 0 {
+		return errQuarantined(wait)
+	}
+	return nil
+}
+
 // clearMarks removes the marks of a request that a target answered. It does not end a
 // quarantine.
 func (q *quarantine) clearMarks(fingerprint uint64) {
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -227,7 +227,22 @@
 			Contact:  d.cell,
 		}),
 	})
-	d.adminServer = d.newAdminServer(query.Admin{Events: d.recorder, State: d.state, Metrics: d.metrics.Handler}.Handler())
+	d.adminServer = d.newAdminServer(query.Admin{Events: d.recorder, State: d.state, Metrics: d.metrics.Handler, Explain: d.explainer()}.Handler())
+}
+
+// explainer returns the handler of queries that explain requests; nil with the policies of
+// package baseline, which it does not know.
+func (d *Daemon) explainer() http.Handler {
+	if d.baseline {
+		return nil
+	}
+	return query.NewExplainer(query.ExplainerConfig{
+		Identity:  d.identity,
+		Configs:   d.reader,
+		Admission: d.handler,
+		Rate:      d.limiter,
+		Placement: d.pool,
+	})
 }
 
 // newAdminServer returns a server for operators, or for readiness checks and address queries
--- a/node/pool/anticipate.go
+++ b/node/pool/anticipate.go
@@ -53,12 +53,7 @@
 // orderByExpectedLoad returns the clients in the order in which to ask them, and whether the
 // first is expected to have a free slot. The clients are those of clientsOf.
 func (p *Pool) orderByExpectedLoad(q *acquireRequest, clients []*groupClient) (order []*groupClient, hasRoom bool) {
-	now := time.Now()
-	loads := make([]target.EstimatedLoad, len(clients))
-	for i, v := range q.layout.services[q.Service.Name] {
-		loads[i] = clients[i].estimatedLoad(v.OpenSlots(), now)
-		loads[i].Remote = p.isRemote(v.Group.Domain)
-	}
+	loads := p.estimatedLoads(q, clients, p.config.Identity.VM.FailureDomain, time.Now())
 	choice := target.OrderGroups(loads, p.baseline(q.Service.Name).value(), rand.Float64)
 	order = make([]*groupClient, len(clients))
 	for i, c := range choice.Order {
@@ -67,6 +62,17 @@
 	return order, choice.HasRoom
 }
 
+// estimatedLoads returns what is known about the loads of the clients of clientsOf, for a
+// request from the failure domain from.
+func (p *Pool) estimatedLoads(q *acquireRequest, clients []*groupClient, from string, now time.Time) []target.EstimatedLoad {
+	loads := make([]target.EstimatedLoad, len(clients))
+	for i, v := range q.layout.services[q.Service.Name] {
+		loads[i] = clients[i].estimatedLoad(v.OpenSlots(), now)
+		loads[i].Remote = p.isRemoteFrom(v.Group.Domain, from)
+	}
+	return loads
+}
+
 // estimatedLoad returns what is known about the load of the group.
 func (c *groupClient) estimatedLoad(slots int, now time.Time) target.EstimatedLoad {
 	c.mu.Lock()
--- a/node/pool/calls.go
+++ b/node/pool/calls.go
@@ -52,15 +52,7 @@
 	defer c.endCall(call)
 	r, generation := c.newExchange()
 	r.BaselineUs = uint64(p.baseline(c.service).value().Microseconds())
-	r.Acquire = &peerv1.PermitAcquire{
-		Workspace: q.Workspace,
-		WaitMs:    millis(wait),
-		HoldMs:    millis(q.MaxDuration),
-		Avoid:     q.Avoid,
-		Route:     q.Route, Idempotent: q.Idempotent, Second: q.Hedge,
-		Repeat: q.Retry || q.Hedge, PatienceMs: millis(q.DueAfter), ObjectiveMs: millis(q.Objective),
-		Domain: p.config.Identity.VM.FailureDomain, Failing: q.Failing,
-	}
+	r.Acquire = q.acquire(wait, p.config.Identity.VM.FailureDomain)
 	ctx, cancel := context.WithTimeout(context.Background(), wait+callMargin)
 	defer cancel()
 	sent := time.Now()
@@ -88,6 +80,20 @@
 	return c.acceptResponse(q, resp, call, sent, generation)
 }
 
+// acquire returns the acquire of a request that comes from the failure domain domain and may
+// wait for at most wait.
+func (q *acquireRequest) acquire(wait time.Duration, domain string) *peerv1.PermitAcquire {
+	return &peerv1.PermitAcquire{
+		Workspace: q.Workspace,
+		WaitMs:    millis(wait),
+		HoldMs:    millis(q.MaxDuration),
+		Avoid:     q.Avoid,
+		Route:     q.Route, Idempotent: q.Idempotent, Second: q.Hedge,
+		Repeat: q.Retry || q.Hedge, PatienceMs: millis(q.DueAfter), ObjectiveMs: millis(q.Objective),
+		Domain: domain, Failing: q.Failing,
+	}
+}
+
 // exchange calls the holder, or its handler directly when this VM is the
 // holder.
 func (p *Pool) exchange(ctx context.Context, vm member.VM, r *peerv1.ExchangePermitsRequest) (*peerv1.ExchangePermitsResponse, error) {
--- a/node/pool/client.go
+++ b/node/pool/client.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -108,34 +109,25 @@
 // lessLoaded reports whether the group of c is expected to have more free slots
 // than that of other, or as many and a shorter queue.
 func (c *groupClient) lessLoaded(other *groupClient) bool {
-	free, queued := c.load()
-	otherFree, otherQueued := other.load()
-	if free != otherFree {
-		return free > otherFree
-	}
-	return queued < otherQueued
+	return c.reportedLoad(time.Now()).LessLoaded(other.reportedLoad(time.Now()))
 }
 
-// load returns the expected numbers of free slots and waiting requests.
-// Outdated figures count as at least one free slot, so that each group is asked
-// again after a while. A group whose holder is unreachable counts as -1 free
-// slots.
-func (c *groupClient) load() (free, queued int) {
-	now := time.Now()
+// reportedLoad returns the load of the group by the last response of its holder, without the
+// number of slots.
+func (c *groupClient) reportedLoad(now time.Time) target.GroupLoad {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.failedAt) < unreachableBackoff {
-		return -1, 0
-	}
-	if now.Sub(c.respondedAt) > maxLoadAge {
-		return max(1, c.free), 0
+	return target.GroupLoad{
+		Free:        c.free,
+		Queued:      c.queued,
+		Outdated:    now.Sub(c.respondedAt) > maxLoadAge,
+		Unreachable: now.Sub(c.failedAt) < unreachableBackoff,
 	}
-	return c.free, c.queued
 }
 
 // looksFull reports whether an acquire without waiting is expected to fail.
 func (c *groupClient) looksFull() bool {
-	free, _ := c.load()
+	free, _ := c.reportedLoad(time.Now()).Expected()
 	return free <= 0
 }
 
@@ -151,15 +143,25 @@
 func (c *groupClient) takeIdle(q *acquireRequest, now time.Time) *permitUse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, pt := range c.idle {
-		fits := !q.avoids(pt.target.ID) && !now.Add(q.MaxDuration).After(pt.deadline) && now.Before(pt.idleUntil)
-		if !fits || pt.check(now) != nil {
-			continue
-		}
-		c.idle = append(c.idle[:i], c.idle[i+1:]...)
-		return &permitUse{permit: pt}
+	if len(c.idle) == 0 {
+		return nil
 	}
-	return nil
+	i := c.findIdle(q, c.pool.currentLayout(), now)
+	if i < 0 {
+		return nil
+	}
+	pt := c.idle[i]
+	c.idle = append(c.idle[:i], c.idle[i+1:]...)
+	return &permitUse{permit: pt}
+}
+
+// findIdle returns the index of an idle permit that suits the request under a layout, -1 for
+// none. The caller holds c.mu.
+func (c *groupClient) findIdle(q *acquireRequest, l *layout, now time.Time) int {
+	return slices.IndexFunc(c.idle, func(pt *permit) bool {
+		fits := !q.avoids(pt.target.ID) && !now.Add(q.MaxDuration).After(pt.deadline) && now.Before(pt.idleUntil)
+		return fits && pt.checkUnder(l, now) == nil
+	})
 }
 
 // recordResponse records the state in the response of a holder to a call of startCall.
--- a/node/pool/degraded.go
+++ b/node/pool/degraded.go
@@ -45,14 +45,7 @@
 // holds from the last holder counts as its one request to the target. The
 // caller holds c.mu and p.entry.mu.
 func (p *Pool) pickDegraded(c *groupClient, q *acquireRequest) (document.Target, bool) {
-	var candidates []document.Target
-	l := p.currentLayout()
-	for _, id := range p.degradedCandidates(l, c) {
-		t, ok := l.usableTarget(c.service, c.name, id)
-		if ok && !q.avoids(id) && p.entry.degradedInUse[degradedKey(c, id)] == 0 && !c.inUse(id) {
-			candidates = append(candidates, t)
-		}
-	}
+	candidates := p.usableDegraded(p.currentLayout(), c, q)
 	if len(candidates) == 0 {
 		return document.Target{}, false
 	}
@@ -68,6 +61,19 @@
 	return a, true
 }
 
+// usableDegraded returns the targets that the request may use without a holder. The caller
+// holds c.mu and p.entry.mu.
+func (p *Pool) usableDegraded(l *layout, c *groupClient, q *acquireRequest) []document.Target {
+	var usable []document.Target
+	for _, id := range p.degradedCandidates(l, c) {
+		t, ok := l.usableTarget(c.service, c.name, id)
+		if ok && !q.avoids(id) && p.entry.degradedInUse[degradedKey(c, id)] == 0 && !c.inUse(id) {
+			usable = append(usable, t)
+		}
+	}
+	return usable
+}
+
 // degradedCandidates returns the IDs of the targets that may be used without a
 // holder: where targets are placed by health estimate, all targets without a
 // configured cold start time; otherwise the last known warm targets.
--- a/node/pool/entry.go
+++ b/node/pool/entry.go
@@ -91,14 +91,30 @@
 		}
 		after := q.retryAfter.Load()
 		if q.queueFull.Load() && (after == 0 || !p.config.OverloadControl) {
-			return nil, fault.New(fault.Overloaded, "the queue of a group of service %s is full", r.Service.Name)
+			return nil, errQueueFull(r.Service.Name)
 		}
 		if after > 0 {
-			return nil, fault.NewWithDelay(fault.Overloaded, time.Duration(after), "no slot of service %s is expected in time", r.Service.Name)
+			return nil, errNotInTime(r.Service.Name, time.Duration(after))
 		}
 		sleep(ctx, wait)
 	}
-	return nil, fault.New(fault.DeadlineNotRun, "no slot of service %s became free in time", r.Service.Name)
+	return nil, errNoSlotInTime(r.Service.Name)
+}
+
+// errQueueFull returns the error of a request for which a queue has no room.
+func errQueueFull(service string) error {
+	return fault.New(fault.Overloaded, "the queue of a group of service %s is full", service)
+}
+
+// errNotInTime returns the error of a request that the holders refused, with the time after
+// which its caller may return.
+func errNotInTime(service string, after time.Duration) error {
+	return fault.NewWithDelay(fault.Overloaded, after, "no slot of service %s is expected in time", service)
+}
+
+// errNoSlotInTime returns the error of a request whose deadline passed.
+func errNoSlotInTime(service string) error {
+	return fault.New(fault.DeadlineNotRun, "no slot of service %s became free in time", service)
 }
 
 // checkTargets returns an error when no target may receive the request.
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -91,12 +91,31 @@
 		h.serveQueue(g)
 		return
 	}
-	h.enqueue(g, e, now)
+	h.enqueue(g, l, e, now)
 }
 
 // enqueue adds an acquire to the queue of the group and serves the queue. It
 // refuses an acquire that is not admitted.
-func (h *holderActor) enqueue(g *heldGroup, e exchangeCall, now time.Time) {
+func (h *holderActor) enqueue(g *heldGroup, l *layout, e exchangeCall, now time.Time) {
+	a := e.request.Acquire
+	e.prepare(now)
+	d, ok := h.admit(g, l, e, now)
+	if !ok {
+		return
+	}
+	if !g.queue.Push(a.Workspace, d.due, d.deadline, e.waiter) {
+		h.serveQueue(g)
+		e.waiter.finish(h.queueFull(g, e.waiter, d.expected, now))
+		return
+	}
+	h.serveQueue(g)
+	if a.WaitMs == 0 {
+		g.queue.Expire(now, func(w *waiter) { h.endWait(g, w, w == e.waiter, now) })
+	}
+}
+
+// prepare sets the request of the waiter and its times.
+func (e exchangeCall) prepare(now time.Time) {
 	a := e.request.Acquire
 	e.waiter.acquire = target.AcquireRequest{
 		Caller:     e.waiter.caller,
@@ -112,19 +131,6 @@
 	}
 	e.waiter.due = now.Add(fromMillis(a.PatienceMs))
 	e.waiter.arrivedAt = now
-	d, ok := h.admit(g, e, now)
-	if !ok {
-		return
-	}
-	if !g.queue.Push(a.Workspace, d.due, d.deadline, e.waiter) {
-		h.serveQueue(g)
-		e.waiter.finish(h.queueFull(g, e.waiter, d.expected, now))
-		return
-	}
-	h.serveQueue(g)
-	if a.WaitMs == 0 {
-		g.queue.Expire(now, func(w *waiter) { h.endWait(g, w, w == e.waiter, now) })
-	}
 }
 
 // endWait responds to a request whose time in the queue has passed. One that did not want
@@ -146,26 +152,37 @@
 
 // admit decides whether a request may wait, and refuses it if not. ok is false when the
 // request was refused.
-func (h *holderActor) admit(g *heldGroup, e exchangeCall, now time.Time) (d admission, ok bool) {
+func (h *holderActor) admit(g *heldGroup, l *layout, e exchangeCall, now time.Time) (d admission, ok bool) {
+	d = h.decide(g, l, e, now)
+	if resp := h.refusalOf(g, e.waiter, d, now); resp != nil {
+		e.waiter.finish(resp)
+		return d, false
+	}
+	return d, true
+}
+
+// decide decides whether a request may wait.
+func (h *holderActor) decide(g *heldGroup, l *layout, e exchangeCall, now time.Time) admission {
 	a := e.request.Acquire
 	switch {
 	case !g.byHealthEstimate():
-		return admission{due: e.waiter.due, deadline: now.Add(fromMillis(a.WaitMs))}, true
+		return admission{due: e.waiter.due, deadline: now.Add(fromMillis(a.WaitMs)), admitted: true}
 	case g.control != nil:
-		d = h.admitWithControl(g, e, now)
-	default:
-		d = g.admitByHealth(a, e.waiter.due, h.isImmediate(a), now)
+		return h.admitWithControl(g, l, e, now)
 	}
+	return g.admitByHealth(a, e.waiter.due, h.isImmediate(a), now)
+}
+
+// refusalOf returns the response to a request that decide does not admit; nil for others.
+func (h *holderActor) refusalOf(g *heldGroup, w *waiter, d admission, now time.Time) *peerv1.ExchangePermitsResponse {
 	if d.withheld && g.control != nil {
 		g.control.withheld++
-		e.waiter.finish(h.refuseWithControl(g, e.waiter, d.expected, now))
-		return d, false
+		return h.refuseWithControl(g, w, d.expected, now)
 	}
 	if d.withheld || !d.admitted {
-		e.waiter.finish(h.refuse(g, e.waiter, d.expected, now))
-		return d, false
+		return h.refuse(g, w, d.expected, now)
 	}
-	return d, true
+	return nil
 }
 
 // admitByHealth decides whether a request may wait without overload control. An immediate one
--- a/node/pool/locality.go
+++ b/node/pool/locality.go
@@ -23,7 +23,12 @@
 // isRemote reports whether the targets of a group are in another failure domain than this VM
 // and requests prefer their own domain. Domain is that of the group; empty for several.
 func (p *Pool) isRemote(domain string) bool {
-	return len(p.config.LocalDomains) > 0 && domain != "" && domain != p.config.Identity.VM.FailureDomain
+	return p.isRemoteFrom(domain, p.config.Identity.VM.FailureDomain)
+}
+
+// isRemoteFrom is isRemote for requests from the failure domain from.
+func (p *Pool) isRemoteFrom(domain, from string) bool {
+	return len(p.config.LocalDomains) > 0 && domain != "" && domain != from
 }
 
 // recordLocality counts a permit for a target by whether it is in the domain of this VM.
@@ -58,13 +63,7 @@
 	if l := c.pool.layout.Load(); l != nil && l.Groups[c.name] != nil {
 		slots = l.Groups[c.name].OpenSlots()
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return target.GroupLoad{
-		Free:        c.free,
-		Queued:      c.queued,
-		Slots:       slots,
-		Outdated:    now.Sub(c.respondedAt) > maxLoadAge,
-		Unreachable: now.Sub(c.failedAt) < unreachableBackoff,
-	}
+	load := c.reportedLoad(now)
+	load.Slots = slots
+	return load
 }
--- a/node/pool/overload.go
+++ b/node/pool/overload.go
@@ -43,9 +43,8 @@
 }
 
 // admitWithControl decides whether a request may wait with overload control.
-func (h *holderActor) admitWithControl(g *heldGroup, e exchangeCall, now time.Time) admission {
+func (h *holderActor) admitWithControl(g *heldGroup, l *layout, e exchangeCall, now time.Time) admission {
 	a, c := e.request.Acquire, g.control
-	l := h.pool.currentLayout()
 	c.retainRoutes(l)
 	answer := g.holder.MeanAnswerTime(a.Route)
 	left := fromMillis(a.HoldMs)
--- a/node/pool/permit.go
+++ b/node/pool/permit.go
@@ -64,11 +64,16 @@
 // reported to it, and a target that has started again, because its former
 // process is the one that the holder counted.
 func (pt *permit) check(now time.Time) error {
+	return pt.checkUnder(pt.client.pool.currentLayout(), now)
+}
+
+// checkUnder is check under the layout l.
+func (pt *permit) checkUnder(l *layout, now time.Time) error {
 	c := pt.client
 	if !now.Before(pt.deadline) {
 		return fault.New(fault.NoCapacity, "the permit for target %s has expired", pt.target.ID)
 	}
-	t, ok := c.pool.currentLayout().usableTarget(c.service, c.name, pt.target.ID)
+	t, ok := l.usableTarget(c.service, c.name, pt.target.ID)
 	if !ok || t.Address != pt.target.Address || t.Process != pt.target.Process {
 		return fault.New(fault.NoCapacity, "target %s must not receive new requests: it is closed, was moved to another group or address, or has started again", pt.target.ID)
 	}
--- a/node/query/admin.go
+++ b/node/query/admin.go
@@ -27,6 +27,8 @@
 	State StateSource
 	// Metrics serves the Prometheus text format.
 	Metrics http.Handler
+	// Explain explains requests. Default: such queries get 404.
+	Explain http.Handler
 }
 
 // MaxEvents is the maximum number of events in one response.
@@ -44,13 +46,16 @@
 }
 
 // Handler returns the handler of the admin address: GET on
-// /galenasail/v1/{health,state,events,metrics}.
+// /galenasail/v1/{health,state,events,metrics,explain}.
 func (a Admin) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /galenasail/v1/health", a.health)
 	mux.HandleFunc("GET /galenasail/v1/state", a.state)
 	mux.HandleFunc("GET /galenasail/v1/events", a.events)
 	mux.Handle("GET /galenasail/v1/metrics", a.Metrics)
+	if a.Explain != nil {
+		mux.Handle("GET /galenasail/v1/explain", a.Explain)
+	}
 	return mux
 }
 
--- a/node/rate/entry.go
+++ b/node/rate/entry.go
@@ -114,7 +114,13 @@
 func (e *entry) maxWait(w *document.Workspace) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if ws := e.workspaces[w.ID]; ws != nil && e.aboveRate(ws, e.cfg.Now()) {
+	return e.maxWaitOf(e.workspaces[w.ID], e.cfg.Now())
+}
+
+// maxWaitOf returns how long a request of the workspace with state ws, nil for none, may
+// wait. The caller holds e.mu.
+func (e *entry) maxWaitOf(ws *workspace, now time.Time) time.Duration {
+	if ws != nil && e.aboveRate(ws, now) {
 		return e.cfg.MaxWait
 	}
 	return e.cfg.TakeoverWait
@@ -198,27 +204,47 @@
 // caller holds e.mu.
 func (e *entry) enqueue(ws *workspace, deadline, now time.Time) (*waiter, error) {
 	expected := ws.cache.ExpectedWait(e.queue.FlowLen(ws.id), now)
-	if expected > 0 && !now.Add(expected).Before(deadline) {
-		return nil, refusal(fault.RateLimited, retryDelay(expected), "the workspace is above its rate")
+	if isTooLate(expected, deadline, now) {
+		return nil, errAboveRate(expected)
 	}
 	wt := &waiter{workspace: ws, since: now, outcome: make(chan outcome, 1)}
-	// The queue serves each workspace at its own pace, so the queue's own
-	// estimate over all workspaces does not apply.
-	push := fair.Entry[*waiter]{Flow: ws.id, Value: wt, Deadline: deadline, Wait: max(expected, 1)}
-	item, verdict := e.queue.Push(push, now)
+	item, verdict := e.queue.Push(queueEntry(wt, expected, deadline), now)
 	wt.item = item
 	e.refuseDropped(now)
-	switch {
-	case verdict == fair.Accepted:
+	if verdict == fair.Accepted {
 		return wt, nil
+	}
+	return nil, queueError(ws, verdict, expected, deadline, now)
+}
+
+// isTooLate reports whether a request with the expected wait, 0 for an unknown one, would get
+// its token after its deadline.
+func isTooLate(expected time.Duration, deadline, now time.Time) bool {
+	return expected > 0 && !now.Add(expected).Before(deadline)
+}
+
+// queueEntry returns the entry of a request in the queue. The queue serves each workspace at
+// its own pace, so the queue's own estimate over all workspaces does not apply.
+func queueEntry(wt *waiter, expected time.Duration, deadline time.Time) fair.Entry[*waiter] {
+	return fair.Entry[*waiter]{Flow: wt.workspace.id, Value: wt, Deadline: deadline, Wait: max(expected, 1)}
+}
+
+// queueError returns the error of a request that the queue did not accept.
+func queueError(ws *workspace, verdict fair.Result, expected time.Duration, deadline, now time.Time) error {
+	switch {
 	case !now.Before(deadline):
-		return nil, refusal(fault.DeadlineNotRun, 0, "the deadline passed before a token was available")
+		return refusal(fault.DeadlineNotRun, 0, "the deadline passed before a token was available")
 	case verdict == fair.QueueFull:
-		return nil, refusal(fault.Overloaded, 0, "the queue is full: too many requests of all workspaces wait for a token")
+		return refusal(fault.Overloaded, 0, "the queue is full: too many requests of all workspaces wait for a token")
 	case verdict == fair.FlowFull && !ws.holderReached:
-		return nil, refusal(fault.Overloaded, 0, "no holder of the rate answers and too many requests of the workspace wait for a token")
+		return refusal(fault.Overloaded, 0, "no holder of the rate answers and too many requests of the workspace wait for a token")
 	}
-	return nil, refusal(fault.RateLimited, retryDelay(expected), "the workspace is above its rate")
+	return errAboveRate(expected)
+}
+
+// errAboveRate returns the error of a request of a workspace above its rate.
+func errAboveRate(expected time.Duration) error {
+	return refusal(fault.RateLimited, retryDelay(expected), "the workspace is above its rate")
 }
 
 // refuseDropped sends the drop reason to each request that left the queue
--- a/node/rate/holder.go
+++ b/node/rate/holder.go
@@ -69,8 +69,10 @@
 	issued  atomic.Uint64
 }
 
-// message is a call for tokens, or a tick if request is nil.
+// message is a call for tokens, a query for the level of a bucket, or a tick if both are
+// nil.
 type message struct {
+	level   *levelQuery
 	request *peerv1.AcquireTokensRequest
 	reply   chan *peerv1.AcquireTokensResponse
 }
@@ -150,9 +152,13 @@
 
 // handle processes one message on the actor.
 func (h *holder) handle(m message) {
-	if m.request != nil {
+	switch {
+	case m.request != nil:
 		h.serveCall(m)
 		return
+	case m.level != nil:
+		m.level.reply <- h.level(m.level.workspace)
+		return
 	}
 	h.onTick()
 	if !h.closed.Load() {
