--- a/cmd/galenasail/explain_table.go
+++ b/cmd/galenasail/explain_table.go
@@ -137,17 +137,25 @@
 
 func writeGroups(w io.Writer, p explain.Placement) {
 	fmt.Fprintln(w)
-	fmt.Fprintln(w, "GROUP\tHOLDER\tDOMAIN\tFREE\tQUEUED\tSLOTS\tREPORT AGE MS\tREASONS")
+	fmt.Fprintln(w, "GROUP\tHOLDER\tDOMAIN\tFREE\tQUEUED\tSLOTS\tREPORTED\tREASONS")
 	for _, g := range p.Groups {
 		holder := orDash(g.Holder)
 		if g.HeldHere {
 			holder += " (this VM)"
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\n", g.Name, holder, orDash(g.FailureDomain),
-			optional("%d", g.Free), optional("%d", g.Queued), g.Slots, optional("%d", g.ReportAgeMs), strings.Join(g.Reasons, "; "))
+			optional("%.1f", g.ExpectedFree), optional("%.1f", g.ExpectedQueued), g.Slots, describeReport(g), strings.Join(g.Reasons, "; "))
 	}
 }
 
+// describeReport returns the last response of the holder: free slots, waiting requests, age.
+func describeReport(g explain.Group) string {
+	if g.ReportAgeMs == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%d/%d %d ms ago", *g.Free, *g.Queued, *g.ReportAgeMs)
+}
+
 func writeTargets(w io.Writer, p explain.Placement) {
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, "GROUP\tTARGET\tDOMAIN\tIDLE\tLIMIT\tSLOTS\tGRAY\tCOST\tREASON")
--- a/core/target/anticipate.go
+++ b/core/target/anticipate.go
@@ -190,10 +190,16 @@
 // expectsFreeSlot reports whether a group with the given expected room is expected to have
 // a free slot.
 func expectsFreeSlot(l EstimatedLoad, room float64) bool {
+	return expectedSlots(l, room) >= 1
+}
+
+// expectedSlots returns the expected number of free slots, less the waiting requests, of a
+// group with the given expected room.
+func expectedSlots(l EstimatedLoad, room float64) float64 {
 	if l.Remote {
 		room += remoteDomainPenalty
 	}
-	return room*float64(l.Slots) >= 1
+	return room * float64(l.Slots)
 }
 
 // hasRemote reports whether some groups are remote, so that all are asked in the order of
--- a/core/target/explain.go
+++ b/core/target/explain.go
@@ -206,6 +206,11 @@
 type GroupRank struct {
 	// Group is the index of the group in the argument.
 	Group int
+	// Last is true for a group that ranks last whatever its load, because its holder is
+	// unreachable. Then Free, Queued and Room have no meaning.
+	Last bool
+	// Free and Queued are the expected free slots and waiting requests.
+	Free, Queued float64
 	// Room is the expected share of free slots, less the waiting requests and the penalty of
 	// another failure domain.
 	Room float64
@@ -229,7 +234,13 @@
 	sortByRoom(order, rooms)
 	r := GroupRanking{Drawn: len(loads) > 2 && !hasRemote(loads)}
 	for _, g := range order {
-		r.Ranks = append(r.Ranks, GroupRank{Group: g, Room: rooms[g], FreeSlot: expectsFreeSlot(loads[g], rooms[g])})
+		rank := GroupRank{Group: g, Last: math.IsInf(rooms[g], -1)}
+		if !rank.Last {
+			slots := expectedSlots(loads[g], rooms[g])
+			rank.Free, rank.Queued, rank.Room = max(0, slots), max(0, -slots), rooms[g]
+			rank.FreeSlot = expectsFreeSlot(loads[g], rooms[g])
+		}
+		r.Ranks = append(r.Ranks, rank)
 	}
 	return r
 }
@@ -250,8 +261,10 @@
 		sortByRoom(order, rooms)
 	}
 	for _, g := range order {
-		free, _ := loads[g].Expected()
-		r.Ranks = append(r.Ranks, GroupRank{Group: g, Room: rooms[g], FreeSlot: free > 0})
+		free, queued := loads[g].Expected()
+		r.Ranks = append(r.Ranks, GroupRank{
+			Group: g, Last: loads[g].Unreachable, Free: float64(max(0, free)), Queued: float64(queued), Room: rooms[g], FreeSlot: free > 0,
+		})
 	}
 	return r
 }
@@ -273,15 +286,3 @@
 	}
 	return all
 }
-
-// IsKnown reports whether a holder has reported the load of the group, and how old the
-// report is.
-func (l EstimatedLoad) IsKnown() (age time.Duration, known bool) {
-	return l.age, l.known
-}
-
-// RoomKnown reports whether an expected room is a number: that of a group without open slots
-// or without a holder that answers is not.
-func RoomKnown(room float64) bool {
-	return !math.IsInf(room, 0) && room > unreachableRoom/2
-}
--- a/core/target/explain_test.go
+++ b/core/target/explain_test.go
@@ -157,8 +157,8 @@
 			if got.Drawn || rooms[r.Group] != rooms[want.Order[i]] {
 				t.Fatalf("ranking %+v, order %v by rooms %v", got, want.Order, rooms)
 			}
-			if RoomKnown(r.Room) == math.IsInf(r.Room, 0) {
-				t.Fatalf("room %v of a group counts as known: %v", r.Room, RoomKnown(r.Room))
+			if r.Last != loads[r.Group].Unreachable || math.IsInf(r.Room, 0) {
+				t.Fatalf("group %+v, unreachable: %v", r, loads[r.Group].Unreachable)
 			}
 		}
 		if got.Ranks[0].FreeSlot != want.HasRoom {
@@ -178,7 +178,7 @@
 		return order
 	}
 	r := RankReported(loads, nil)
-	if got := groups(r); !slices.Equal(got, []int{2, 1, 3, 0}) || !r.Drawn || r.Ranks[3].FreeSlot {
+	if got := groups(r); !slices.Equal(got, []int{2, 1, 3, 0}) || !r.Drawn || r.Ranks[3].FreeSlot || !r.Ranks[3].Last {
 		t.Errorf("order %v, drawn %v", got, r.Drawn)
 	}
 	r = RankReported(loads, []bool{false, false, true, true})
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -174,13 +174,17 @@
 	HeldHere bool `json:"heldHere"`
 	// Slots is the number of slots of its open targets.
 	Slots int `json:"slots"`
+	// ExpectedFree and ExpectedQueued are the free slots and the waiting requests that this VM
+	// expects now; absent for a group that is not asked now.
+	ExpectedFree   *float64 `json:"expectedFree,omitempty"`
+	ExpectedQueued *float64 `json:"expectedQueued,omitempty"`
 	// Free and Queued are the free slots and the waiting requests in the last response of the
 	// holder, which came ReportAgeMs ago; absent without a response.
 	Free        *int   `json:"free,omitempty"`
 	Queued      *int   `json:"queued,omitempty"`
 	ReportAgeMs *int64 `json:"reportAgeMs,omitempty"`
-	// Room is the expected share of free slots by which groups are ranked; absent for a group
-	// that is not asked.
+	// Room is the expected share of free slots, less the penalty of another failure domain;
+	// absent where groups are not ranked by it, and for a group that is not asked now.
 	Room *float64 `json:"room,omitempty"`
 	// FreeSlot is true when the group is expected to have a free slot.
 	FreeSlot bool `json:"freeSlot"`
--- a/node/pool/explain.go
+++ b/node/pool/explain.go
@@ -29,7 +29,7 @@
 // failure domain from. It acquires nothing and changes no state. It waits for the holder side
 // until ctx ends.
 func (p *Pool) ExplainPlacement(ctx context.Context, r node.PermitRequest, from string) explain.Placement {
-	q := &acquireRequest{PermitRequest: r, layout: p.layout.Load()}
+	q := &acquireRequest{PermitRequest: r, layout: p.layoutForQuery()}
 	out := explain.Placement{Groups: []explain.Group{}, Refusal: explain.NewRefusal(explain.StepTarget, q.checkTargets())}
 	if q.layout == nil {
 		return out
@@ -87,7 +87,8 @@
 	loads := make([]target.GroupLoad, len(clients))
 	var remote []bool
 	for i, c := range clients {
-		loads[i] = c.groupLoad(now)
+		loads[i] = c.reportedLoad(now)
+		loads[i].Slots = q.layout.Groups[c.name].OpenSlots()
 		if len(p.config.LocalDomains) > 0 {
 			remote = append(remote, p.isRemoteFrom(c.domain, from))
 		}
@@ -127,13 +128,16 @@
 
 // explainGroup describes a group, and its targets if this VM chooses among them.
 func (p *Pool) explainGroup(ctx context.Context, q *acquireRequest, c *groupClient, rank target.GroupRank, from string, now time.Time) explain.Group {
-	load := c.groupLoad(now)
+	load := c.reportedLoad(now)
 	out := explain.Group{
-		Name: c.name, FailureDomain: c.domain, Slots: load.Slots,
+		Name: c.name, FailureDomain: c.domain, Slots: q.layout.Groups[c.name].OpenSlots(),
 		FreeSlot: rank.FreeSlot, Unreachable: load.Unreachable, Remote: p.isRemoteFrom(c.domain, from),
 	}
-	if target.RoomKnown(rank.Room) {
-		out.Room = &rank.Room
+	if !rank.Last {
+		out.ExpectedFree, out.ExpectedQueued = &rank.Free, &rank.Queued
+		if p.config.AnticipateLoad || len(p.config.LocalDomains) > 0 {
+			out.Room = &rank.Room
+		}
 	}
 	age, responded := c.lastResponse(now)
 	if responded {
@@ -149,7 +153,10 @@
 	switch {
 	case !known || c.claimedInVain(now):
 		out.Degraded = p.explainDegraded(q, c)
-		out.Note = "no VM holds the group exclusively: this VM uses one of two of the listed targets drawn at random, with one request each"
+		out.Note = "no VM holds the group exclusively, and this VM may use none of its targets without a holder"
+		if len(out.Degraded) > 0 {
+			out.Note = "no VM holds the group exclusively: of two of the listed targets drawn at random, this VM uses the one that it used less recently"
+		}
 	case !out.HeldHere:
 		out.Note = fmt.Sprintf("the targets are chosen by %s, whose state this VM does not know", vm.ID)
 	default:
@@ -173,8 +180,11 @@
 		add(g.Remote, "other failure domain")
 		add(!g.Remote, "local failure domain")
 	}
-	if g.Room != nil {
+	switch {
+	case g.Room != nil:
 		add(true, "expected room %.2f of the slots", *g.Room)
+	case g.ExpectedFree != nil:
+		add(true, "expected free slots %.0f, waiting %.0f", *g.ExpectedFree, *g.ExpectedQueued)
 	}
 	add(g.ReportAgeMs == nil, "the holder has reported no load")
 	add(outdated && !p.config.AnticipateLoad, "the report is older than %v, a free slot is assumed", maxLoadAge)
--- a/node/pool/layout.go
+++ b/node/pool/layout.go
@@ -51,6 +51,25 @@
 	if l != nil && l.Snapshot.Ticket() > snapshot.Ticket() {
 		return l
 	}
+	next := p.nextLayout(l, snapshot, list)
+	p.layout.Store(next)
+	return next
+}
+
+// layoutForQuery returns the layout that a request would use now; nil before the first
+// configuration. Unlike currentLayout it does not apply one that it has to build.
+func (p *Pool) layoutForQuery() *layout {
+	snapshot, list := p.config.Configs.Snapshot(), p.config.Configs.List()
+	l := p.layout.Load()
+	current := l != nil && l.Snapshot == snapshot && l.list == list
+	if snapshot == nil || current || l != nil && l.Snapshot.Ticket() > snapshot.Ticket() {
+		return l
+	}
+	return p.nextLayout(l, snapshot, list)
+}
+
+// nextLayout returns the layout of a configuration that follows the layout l, nil for none.
+func (p *Pool) nextLayout(l *layout, snapshot *document.Snapshot, list *member.List) *layout {
 	next := p.newLayout(l, list)
 	if l != nil && l.Snapshot == snapshot {
 		next.Layout, next.appliedAt, next.previous = l.Layout, l.appliedAt, l.previous
@@ -58,7 +77,6 @@
 		next.Layout = target.NewLayout(snapshot, l.targetLayout())
 	}
 	p.assignGroups(next)
-	p.layout.Store(next)
 	return next
 }
 
--- a/node/pool/pool_test.go
+++ b/node/pool/pool_test.go
@@ -146,7 +146,7 @@
 	docs := document.Content{}
 	service, _ := json.Marshal(s)
 	docs["services/"+s.Name] = service
-	docs["domains"] = []byte(`{"kind":"domains","domains":[{"name":"a","state":"in"},{"name":"b","state":"in"}]}`)
+	docs["domains"] = []byte(`{"kind":"domains","domains":[{"name":"a","state":"in"},{"name":"b","state":"in"},{"name":"c","state":"out"}]}`)
 	docs["routes/r"] = []byte(`{"kind":"routes","routes":[{"id":"r","pathPrefix":"/","service":"` + s.Name + `","timeoutMs":2000}]}`)
 	ix := &document.Index{Ticket: ticket}
 	for name, raw := range docs {
