--- a/cmd/galenasail/explain_table.go
+++ b/cmd/galenasail/explain_table.go
@@ -15,6 +15,7 @@
 	writeSteps(tw, r)
 	if r.Placement != nil {
 		writeGroups(tw, *r.Placement)
+		writeChoices(tw, *r.Placement)
 		writeTargets(tw, *r.Placement)
 	}
 	fmt.Fprintln(tw)
@@ -156,22 +157,31 @@
 	return fmt.Sprintf("%d/%d %d ms ago", *g.Free, *g.Queued, *g.ReportAgeMs)
 }
 
+// writeChoices writes what the holder of each group would do, as far as the VM knows.
+func writeChoices(w io.Writer, p explain.Placement) {
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "GROUP\tCHOICE OF A TARGET")
+	for _, g := range p.Groups {
+		text := g.Note
+		if g.Held != nil {
+			text = describeHeld(*g.Held)
+		}
+		fmt.Fprintf(w, "%s\t%s\n", g.Name, text)
+	}
+}
+
 func writeTargets(w io.Writer, p explain.Placement) {
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, "GROUP\tTARGET\tDOMAIN\tIDLE\tLIMIT\tSLOTS\tGRAY\tCOST\tREASON")
 	for _, g := range p.Groups {
 		if g.Held != nil {
-			fmt.Fprintf(w, "%s\t%s\n", g.Name, describeHeld(*g.Held))
 			for _, t := range g.Held.Targets {
 				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n", g.Name, t.ID, t.FailureDomain, t.Idle, t.Limit, t.Slots,
 					optional("%.2f", t.Gray), optional("%.3f", t.Cost), describeTarget(t))
 			}
 		}
-		if g.Note != "" {
-			fmt.Fprintf(w, "%s\t%s\n", g.Name, g.Note)
-		}
 		for _, id := range g.Degraded {
-			fmt.Fprintf(w, "%s\t%s\n", g.Name, id)
+			fmt.Fprintf(w, "%s\t%s\t-\t-\t-\t-\t-\t-\tcandidate without a holder\n", g.Name, id)
 		}
 	}
 }
