pool: explain also the call without a wait that comes before the queue

With AnticipateLoad a request with too little time for a queue is granted a free slot by its first call. The explanation tried only the queueing call and named a refusal. It now runs the calls in the order of a request.

--- a/node/pool/explain.go
+++ b/node/pool/explain.go
@@ -160,7 +160,7 @@
 	case !out.HeldHere:
 		out.Note = fmt.Sprintf("the targets are chosen by %s, whose state this VM does not know", vm.ID)
 	default:
-		out.Held, out.Note = p.explainHeld(ctx, q, c, from)
+		out.Held, out.Note = p.explainHeld(ctx, q, c, rank.FreeSlot, from)
 	}
 	return out
 }
@@ -258,7 +258,10 @@
 
 // explainQuery asks the holder side what it would do with an acquire.
 type explainQuery struct {
-	call    exchangeCall
+	// calls are the calls that a request would make until one is granted: one without a wait,
+	// where it is expected to find a free slot, and one that queues.
+	calls   []exchangeCall
+	group   string
 	service string
 	layout  *layout
 	// reply has room for the one answer, nil when this VM does not hold the group yet.
@@ -267,11 +270,12 @@
 
 // explainHeld returns what the holder side of this VM would do with the request. The note
 // says why it is not known.
-func (p *Pool) explainHeld(ctx context.Context, q *acquireRequest, c *groupClient, from string) (held *explain.HeldGroup, note string) {
-	id := p.config.Identity
-	r := &peerv1.ExchangePermitsRequest{Vm: id.VM.ID, Instance: id.Instance, Group: c.name, Acquire: q.acquire(min(q.queueTimeout(), q.MaxDuration), from)}
-	w := &waiter{caller: target.Caller{VM: id.VM.ID, Instance: id.Instance}}
-	m := explainQuery{call: exchangeCall{r, w}, service: c.service, layout: q.layout, reply: make(chan *explain.HeldGroup, 1)}
+func (p *Pool) explainHeld(ctx context.Context, q *acquireRequest, c *groupClient, freeSlot bool, from string) (held *explain.HeldGroup, note string) {
+	m := explainQuery{group: c.name, service: c.service, layout: q.layout, reply: make(chan *explain.HeldGroup, 1)}
+	if freeSlot && len(q.layout.services[c.service]) > 1 {
+		m.calls = append(m.calls, p.callForQuery(c.name, q.acquire(0, from)))
+	}
+	m.calls = append(m.calls, p.callForQuery(c.name, q.acquire(min(q.queueTimeout(), q.MaxDuration), from)))
 	if err := p.actor.Send(m); err != nil {
 		return nil, "the holder side of this VM is busy: " + fault.From(err).Detail
 	}
@@ -288,15 +292,23 @@
 	}
 }
 
+// callForQuery returns a call that nobody waits for.
+func (p *Pool) callForQuery(group string, a *peerv1.PermitAcquire) exchangeCall {
+	id := p.config.Identity
+	return exchangeCall{
+		request: &peerv1.ExchangePermitsRequest{Vm: id.VM.ID, Instance: id.Instance, Group: group, Acquire: a},
+		waiter:  &waiter{caller: target.Caller{VM: id.VM.ID, Instance: id.Instance}},
+	}
+}
+
 func (m explainQuery) apply(h *holderActor) {
-	name := m.call.request.Group
-	g, v := h.groups[name], m.layout.Groups[name]
+	g, v := h.groups[m.group], m.layout.Groups[m.group]
 	hold, ok := h.exclusiveLease(h.pool.shardOf(&v.Group))
 	if g == nil || !ok || hold.Epoch != g.epoch || g.holder.View() != v {
 		m.reply <- nil
 		return
 	}
-	m.reply <- h.explain(g.forQuery(m.call.request.Acquire), m, time.Now())
+	m.reply <- h.explain(g.forQuery(m.calls[0].request.Acquire), m, time.Now())
 }
 
 // forQuery returns a copy of the group with which a query may try out an acquire. The queue is
@@ -313,34 +325,44 @@
 	return &c
 }
 
-// explain reports what the holder would do with an acquire. G is a copy.
+// explain reports what the holder would do with the calls of a request. G is a copy.
 func (h *holderActor) explain(g *heldGroup, m explainQuery, now time.Time) *explain.HeldGroup {
-	e, a := m.call, m.call.request.Acquire
-	e.prepare(now)
-	d := h.decide(g, m.layout, e, now)
-	out := &explain.HeldGroup{
-		Ready: g.holder.Ready(), Verdict: explain.Waits, Queued: g.queue.Len(), Ahead: g.queue.Ahead(d.due),
-		ExpectedWaitMs: d.expected.Milliseconds(), Targets: []explain.Target{},
-	}
-	for _, c := range g.holder.ExplainChoice(e.waiter.acquire, now) {
+	out := &explain.HeldGroup{Ready: g.holder.Ready(), Queued: g.queue.Len(), Targets: []explain.Target{}}
+	for _, e := range m.calls {
+		e.prepare(now)
+	}
+	for _, c := range g.holder.ExplainChoice(m.calls[0].waiter.acquire, now) {
 		out.Targets = append(out.Targets, explainTarget(c, g.byHealthEstimate()))
 	}
-	if len(out.Targets) > 0 && out.Targets[0].Excluded == "" && out.Queued == 0 {
-		out.Verdict = explain.Admitted
+	free := out.Queued == 0 && len(out.Targets) > 0 && out.Targets[0].Excluded == ""
+	for _, e := range m.calls {
+		d := h.decide(g, m.layout, e, now)
+		out.Ahead, out.ExpectedWaitMs = g.queue.Ahead(d.due), d.expected.Milliseconds()
+		out.Verdict, out.Refusal = explain.Waits, h.explainRefusal(g, e, d, m.service, now)
+		switch {
+		case out.Refusal != nil:
+			out.Verdict = explain.Refused
+		case free:
+			out.Verdict = explain.Admitted
+			return out
+		}
 	}
+	return out
+}
+
+// explainRefusal returns the refusal of a call; nil for none. G is a copy.
+func (h *holderActor) explainRefusal(g *heldGroup, e exchangeCall, d admission, service string, now time.Time) *explain.Refusal {
 	resp := h.refusalOf(g, e.waiter, d, now)
-	if resp == nil && !g.queue.HasRoom(a.Workspace, d.due) {
+	if resp == nil && !g.queue.HasRoom(e.request.Acquire.Workspace, d.due) {
 		resp = h.queueFull(g, e.waiter, d.expected, now)
 	}
-	if resp == nil {
-		return out
-	}
-	err := errQueueFull(m.service)
-	if resp.RefusedMs > 0 {
-		err = errNotInTime(m.service, fromMillis(resp.RefusedMs))
+	switch {
+	case resp == nil:
+		return nil
+	case resp.RefusedMs > 0:
+		return explain.NewRefusal(explain.StepTarget, errNotInTime(service, fromMillis(resp.RefusedMs)))
 	}
-	out.Verdict, out.Refusal = explain.Refused, explain.NewRefusal(explain.StepTarget, err)
-	return out
+	return explain.NewRefusal(explain.StepTarget, errQueueFull(service))
 }
 
 func explainTarget(c target.TargetChoice, byHealth bool) explain.Target {
