--- a/node/pool/explain.go
+++ b/node/pool/explain.go
@@ -186,8 +186,8 @@
 	case g.ExpectedFree != nil:
 		add(true, "expected free slots %.0f, waiting %.0f", *g.ExpectedFree, *g.ExpectedQueued)
 	}
-	add(g.ReportAgeMs == nil, "the holder has reported no load")
-	add(outdated && !p.config.AnticipateLoad, "the report is older than %v, a free slot is assumed", maxLoadAge)
+	add(g.ReportAgeMs == nil, "the holder has not reported its load to this VM, so free slots are assumed")
+	add(outdated && !p.config.AnticipateLoad, "the report is older than %v, so a free slot is assumed", maxLoadAge)
 	return all
 }
 
