explain: end-to-end test with five VMs; announced room of queues

The five VMs of TestRequestEndToEnd must together explain the targets of all groups of a service through their admin addresses, without a change of the admitted requests. The tests of the queues compare HasRoom with Push, with and without eviction.

--- a/cmd/internal/fleet/fleet_test.go
+++ b/cmd/internal/fleet/fleet_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/galenasail/galenasail/cmd/internal/adminclient"
 	"github.com/galenasail/galenasail/cmd/internal/deployment"
 	"github.com/galenasail/galenasail/cmd/internal/load"
+	"github.com/galenasail/galenasail/node/explain"
 )
 
 // startPlainTargets serves all targets of a deployment with a handler that has no faults
@@ -73,11 +75,54 @@
 			t.Fatalf("request %d: got %+v, want its path as the answer", i, res)
 		}
 	}
+	explainEndToEnd(t, f, d)
 	if n := f.Violations(); n != 0 {
 		t.Fatalf("got %d invariant violations, want 0", n)
 	}
 }
 
+// explainEndToEnd asks each VM where a request would go. Together the VMs must explain the
+// targets of all groups, and the requests admitted so far must stay the same.
+func explainEndToEnd(t *testing.T, f *Fleet, d deployment.Deployment) {
+	t.Helper()
+	admitted := func() (sum int64) {
+		for _, vm := range f.runningVMs() {
+			for _, ws := range vm.State().Workspaces {
+				sum += ws.Admitted
+			}
+		}
+		return sum
+	}
+	before := admitted()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	last := map[string]explain.Result{}
+	allExplained := func() bool {
+		groups, held := 0, 0
+		for i := range 5 {
+			r, err := adminclient.New(f.config.Ports.AdminAddress(i)).Explain(ctx, explain.Request{Method: "POST", URL: "/citas/1", Workspace: d.Workspaces[0].ID})
+			if err != nil || r.Placement == nil || r.Refusal != nil {
+				t.Logf("VM %d: %+v, error %v", i, r.Refusal, err)
+				return false
+			}
+			last[r.VM] = r
+			groups = len(r.Placement.Groups)
+			for _, g := range r.Placement.Groups {
+				if g.Held != nil && len(g.Held.Targets) > 0 {
+					held++
+				}
+			}
+		}
+		return groups > 0 && held == groups
+	}
+	if err := f.WaitFor(ctx, allExplained); err != nil {
+		t.Fatalf("the VMs do not explain all groups: %+v", last)
+	}
+	if after := admitted(); after != before {
+		t.Fatalf("%d requests admitted after the explanations, %d before", after, before)
+	}
+}
+
 // Guards against a graceful shutdown that breaks or refuses requests of callers that use
 // the address query. If a VM closes idle connections while callers still use its address,
 // a request on such a connection can break, which happened to 1 of 1,183 requests.
--- a/core/target/due_queue_test.go
+++ b/core/target/due_queue_test.go
@@ -96,3 +96,22 @@
 		t.Fatalf("served at position %d, want 1 to 5", servedAt)
 	}
 }
+
+// Guards against room that is announced but not there, or there but not announced, in a full
+// queue that gives up later requests and in one that does not.
+func TestDueQueueAnnouncesRoom(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, evicts := range []bool{false, true} {
+		q := NewDueQueue(4, 6, noTrial[string])
+		if evicts {
+			q.SetRules(ServeRules[string]{Evicted: func(string) {}})
+		}
+		for i := range 40 {
+			workspace, due := []string{"a", "b", "c"}[i%3], now.Add(time.Duration(400-7*i*(i%5))*time.Millisecond)
+			announced, before := q.HasRoom(workspace, due), q.Len()
+			if q.Len() != before || q.Push(workspace, due, now.Add(time.Second), workspace) != announced {
+				t.Fatalf("evicts %v, request %d: announced room %v of %d requests", evicts, i, announced, q.Len())
+			}
+		}
+	}
+}
--- a/core/target/holder_test.go
+++ b/core/target/holder_test.go
@@ -65,12 +65,16 @@
 	}
 }
 
-// Guards against a workspace that fills the queue and delays the others.
+// Guards against a workspace that fills the queue and delays the others, and against room
+// that is announced but not there.
 func TestRoundRobinQueueIsFair(t *testing.T) {
 	q := NewRoundRobinQueue[string](4, 10)
 	now := time.Unix(0, 0)
 	for range 9 {
-		q.Push("big", now, now.Add(time.Second), "big")
+		announced := q.HasRoom("big", now)
+		if q.Push("big", now, now.Add(time.Second), "big") != announced {
+			t.Fatalf("the queue of %d requests announced room: %v", q.Len(), announced)
+		}
 	}
 	if !q.Push("small", now, now.Add(time.Second), "small") || q.Len() != 5 {
 		t.Fatalf("%d requests wait, want 4 of the big and 1 of the small workspace", q.Len())
