explain: say what is assumed of an outdated report

An outdated report with many free slots was shown with the reason that a free slot is assumed. Requests take the reported free slots, at least one, and no queue. Seen in a run of 48 VMs on loopback; no change but the wording.

--- a/node/pool/explain.go
+++ b/node/pool/explain.go
@@ -187,7 +187,7 @@
 		add(true, "expected free slots %.0f, waiting %.0f", *g.ExpectedFree, *g.ExpectedQueued)
 	}
 	add(g.ReportAgeMs == nil, "the holder has not reported its load to this VM, so free slots are assumed")
-	add(outdated && !p.config.AnticipateLoad, "the report is older than %v, so a free slot is assumed", maxLoadAge)
+	add(outdated && !p.config.AnticipateLoad, "the report is older than %v, so at least one free slot and no queue are assumed", maxLoadAge)
 	return all
 }
 
