query: test of explained refusals with a fixed identity of the VM

The fixture took its VM from an unsorted list, in which Find fails depending on the order of a map, so TestFirstStepRefuses failed in about 2 of 5 runs. The checks of the test are the same.

--- a/node/query/explain_test.go
+++ b/node/query/explain_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/galenasail/galenasail/core/document"
+	"github.com/galenasail/galenasail/core/member"
 	"github.com/galenasail/galenasail/node"
 	"github.com/galenasail/galenasail/node/explain"
 )
@@ -46,10 +47,8 @@
 
 // explainer returns an explainer with fake parts.
 func (p *explainedParts) explainer(t *testing.T) *Explainer {
-	vm := newFakeVM(t)
-	id := node.Identity{}
-	id.VM, _ = vm.list.Find("vm-1")
-	return NewExplainer(ExplainerConfig{Identity: id, Configs: vm, Admission: p, Rate: p, Placement: p})
+	id := node.Identity{VM: member.VM{ID: "vm-1", FailureDomain: "d1"}}
+	return NewExplainer(ExplainerConfig{Identity: id, Configs: newFakeVM(t), Admission: p, Rate: p, Placement: p})
 }
 
 // ask sends a query with the given parameters, name and value in turn.
