pool: an acquire without a wait is refused when its answer cannot come in time

Cause: acquires without a wait were admitted whatever time their request had left, while the queue refuses a request whose time is below the mean answer time of its route.

--- a/node/pool/anticipate_test.go
+++ b/node/pool/anticipate_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/galenasail/galenasail/core/document"
+	"github.com/galenasail/galenasail/core/fault"
 	"github.com/galenasail/galenasail/core/member"
 	"github.com/galenasail/galenasail/node"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
@@ -76,6 +77,24 @@
 	}
 }
 
+// Guards against a request that takes a free slot although its answer cannot come in time.
+func TestRequestWithoutTimeForItsAnswerIsRefused(t *testing.T) {
+	for _, control := range []bool{false, true} {
+		s := service(6)
+		s.Placement, s.GroupSize = document.ByHealthEstimate, 2
+		c := newConfiguredCell(t, 2, s, func(p *Config) { p.OverloadControl = control })
+		for range 60 {
+			c.mustAcquire(1).Release(node.OutcomeOK, 100*time.Millisecond)
+		}
+		c.mu.Lock()
+		r := node.PermitRequest{Service: c.snapshot.Services["citas"], Workspace: "w", MaxDuration: 20 * time.Millisecond, DueAfter: time.Second}
+		c.mu.Unlock()
+		if _, err := c.pools[1].Acquire(context.Background(), r); fault.KindOf(err) != fault.Overloaded {
+			t.Errorf("control %t: got %v, want an error of kind Overloaded", control, err)
+		}
+	}
+}
+
 // Guards against requests that fail while many VMs choose at the same moment: concurrent
 // requests for all slots, each of which is used for a short time.
 func TestAnticipationServesBurst(t *testing.T) {
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -144,8 +144,8 @@
 }
 
 // isImmediate reports whether an acquire does not want to wait for a slot. It is granted a free
-// slot in the order of the queue and is not refused otherwise, because its caller goes on to
-// another group: a refusal would count as a request that was not served.
+// slot in the order of the queue and is not refused for want of one, because its caller goes on
+// to another group: a refusal would count as a request that was not served.
 func isImmediate(a *peerv1.PermitAcquire) bool {
 	return a.WaitMs == 0
 }
@@ -170,7 +170,7 @@
 	case g.control != nil:
 		return h.admitWithControl(g, l, e, now)
 	}
-	return g.admitByHealth(a, e.waiter.due, isImmediate(a), now)
+	return g.admitByHealth(a, e.waiter.due, now)
 }
 
 // refusalOf returns the response to a request that decide does not admit; nil for others.
@@ -186,14 +186,15 @@
 }
 
 // admitByHealth decides whether a request may wait without overload control. An immediate one
-// does not want to wait and is not refused.
-func (g *heldGroup) admitByHealth(a *peerv1.PermitAcquire, due time.Time, immediate bool, now time.Time) admission {
+// is refused only if it has no time left for its answer.
+func (g *heldGroup) admitByHealth(a *peerv1.PermitAcquire, due time.Time, now time.Time) admission {
 	d := admission{due: due, withheld: a.Repeat && !g.holder.MayRepeat(now)}
-	if immediate {
-		d.deadline, d.admitted = now, true
+	answer := g.holder.MeanAnswerTime(a.Route)
+	if isImmediate(a) {
+		d.deadline, d.admitted = now, fromMillis(a.HoldMs) > answer
 		return d
 	}
-	d.deadline, d.expected, d.admitted = g.admission.Admit(waitRequest(a), g.queue.Ahead(due), g.queue.Len(), g.holder.MeanAnswerTime(a.Route), now)
+	d.deadline, d.expected, d.admitted = g.admission.Admit(waitRequest(a), g.queue.Ahead(due), g.queue.Len(), answer, now)
 	return d
 }
 
--- a/node/pool/overload.go
+++ b/node/pool/overload.go
@@ -58,7 +58,7 @@
 	w.Wait = min(w.Wait, place.Wait)
 	d.deadline, d.expected, d.admitted = g.admission.Admit(w, g.queue.Ahead(d.due), g.queue.Len(), answer, now)
 	if isImmediate(a) {
-		d.deadline, d.admitted = now, true
+		d.deadline, d.admitted = now, left > answer
 	}
 	if a.Repeat {
 		share := repeatShare(a, overload.Request{
