command: a lost connection does not wait for a slow caller

Cause: net/http reports a lost connection only once its write loop has returned. For a body beyond the part in memory the write loop waits for the caller's next bytes, so that the caller got 502 at its deadline.

Change: what follows the part in memory is read in a goroutine of its own, one read at a time and only on demand. The body of an attempt waits for that read or for the end of the target's connection, which targetConn.Close reports. The read continues; its bytes belong to the next attempt, so that a body of which no attempt has taken such bytes can be sent again. detach ends the read and waits for it, as before. The buffer of 32 KiB is charged before the request is sent. A refusal by a target reaches the caller as such when no other target takes the request.

Ruled out: a deadline on the caller's connection to end the read. net/http cancels the context of the request after any failed read, and a chunked or HTTP/2 body cannot be read further.

--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -172,7 +172,7 @@
 // setBody sets the body of req to the caller's body, from its start.
 func (a *attempt) setBody(req *http.Request) {
 	b := a.exchange.body
-	announced := a.exchange.r.Trailer
+	announced := b.announced
 	if b.buffered && len(announced) == 0 {
 		if len(b.prefix) > 0 {
 			req.Body = io.NopCloser(b.completeReader())
@@ -196,7 +196,9 @@
 			}
 		}
 	}
-	req.Body = b.forAttempt(func() { a.copyTrailer(req.Trailer) })
+	body := b.forAttempt(func() { a.copyTrailer(req.Trailer) })
+	a.guard.setBody(body)
+	req.Body = body
 }
 
 // replayedByTransport reports whether net/http replays requests of this method.
--- a/node/command/body.go
+++ b/node/command/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"sync"
@@ -27,8 +28,6 @@
 )
 
 var (
-	errBodyDetached = errors.New("read of the caller's body after its request has ended")
-	errBodyTaken    = errors.New("the rest of the caller's body belongs to another attempt")
 	errBodyTooLarge = errors.New("the body is larger than the route allows")
 	errBodyStalled  = errors.New("the caller sent no more of the body")
 )
@@ -46,16 +45,22 @@
 	readTill time.Time                // deadline that is set for reads
 	held     *limit.Request           // nil without a bound
 
+	announced http.Header // trailer of the request after readAhead; net/http changes it at the end of source
+
 	detached atomic.Bool
 	eof      atomic.Bool // source was read to its end
-	reading  sync.Mutex  // held during a read from source
 	source   io.ReadCloser
+	stream   []byte // buffer for what follows the part in memory; used by fill
 
-	mu       sync.Mutex
-	consumed int64        // bytes read from source
-	begun    bool         // an attempt has begun to read what follows the part in memory
-	reader   *attemptBody // body of the newest attempt, the only one that may read from source
-	readErr  error        // error that ended source early
+	mu        sync.Mutex
+	changed   sync.Cond    // of the fields below
+	consumed  int64        // bytes read from source
+	reading   bool         // fill runs
+	unsent    []byte       // part of stream that was read and that no attempt has taken
+	sourceErr error        // error or io.EOF that follows unsent; nil while source continues
+	taken     bool         // an attempt has taken bytes that follow the part in memory
+	reader    *attemptBody // body of the newest attempt, the only one that may read from source
+	readErr   error        // error that ended source early
 }
 
 // readBody reads the prefix of the body. An error means that nothing was sent to a
@@ -80,10 +85,12 @@
 	if err != nil {
 		return ex.bodyError(err)
 	}
+	b.announced = maps.Clone(ex.r.Trailer)
 	if b.buffered {
 		_ = b.control.SetReadDeadline(time.Time{})
+		return nil
 	}
-	return nil
+	return b.held.ChargeBody(streamBytes)
 }
 
 // readAhead reads the body until its end or until the part that may be in memory is full.
@@ -204,7 +211,7 @@
 func (b *callerBody) replayable() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.buffered || !b.begun
+	return b.buffered || !b.taken
 }
 
 // readError returns the error that ended the body early, or nil.
@@ -214,94 +221,12 @@
 	return b.readErr
 }
 
-// detach ends reads from the caller's connection. After an early answer the
-// transport may still be reading the body, which is not allowed once the handler
-// has returned. A blocked read is ended by a read deadline. If no read is blocked,
-// net/http reads and discards the rest of the body, so that the caller can read the
-// answer.
-func (b *callerBody) detach() {
-	if b.buffered {
-		return
-	}
-	b.detached.Store(true)
-	if !b.reading.TryLock() {
-		_ = b.control.SetReadDeadline(time.Now())
-		b.reading.Lock()
-	}
-	b.reading.Unlock()
-}
-
 // fullyRead reports whether the body was read to its end. If not, an HTTP/1.1
 // connection must not be reused: the rest would be parsed as the next request.
 func (b *callerBody) fullyRead() bool {
 	return b.buffered || b.eof.Load()
 }
 
-// forAttempt returns the body for the newest attempt and calls onEOF at its end. The bodies of
-// earlier attempts get no further bytes.
-func (b *callerBody) forAttempt(onEOF func()) *attemptBody {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.reader = &attemptBody{body: b, onEOF: onEOF, gap: b.begun}
-	return b.reader
-}
-
-// endAttempt ends the reads of the newest attempt, so that the body can be sent again by the
-// next one.
-func (b *callerBody) endAttempt() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.reader = nil
-}
-
-// readSource reads from the caller's connection for the attempt with body a and enforces the
-// limit.
-func (b *callerBody) readSource(a *attemptBody, p []byte) (int, error) {
-	b.reading.Lock()
-	defer b.reading.Unlock()
-	if err := b.beginRead(a); err != nil {
-		return 0, err
-	}
-	b.held.AwaitBody(true)
-	n, err := boundedSource{b}.Read(p)
-	b.held.AwaitBody(false)
-	return n, b.endRead(n, err)
-}
-
-// beginRead returns an error unless the attempt with body a may read from source.
-func (b *callerBody) beginRead(a *attemptBody) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.detached.Load() {
-		return errBodyDetached
-	}
-	if a != b.reader {
-		return errBodyTaken
-	}
-	if a.gap {
-		b.readErr = errBodyTaken
-		return errBodyTaken
-	}
-	b.begun = true
-	return nil
-}
-
-// endRead records a read of n bytes that ended with err, and returns err or the error of a
-// body above the limit.
-func (b *callerBody) endRead(n int, err error) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.consumed += int64(n)
-	if b.consumed > b.limit {
-		err = errBodyTooLarge
-	}
-	b.eof.Store(err == io.EOF)
-	if err != nil && err != io.EOF {
-		b.readErr = err
-	}
-	return err
-}
-
 // inMemory returns the bytes in memory from offset to the end of their buffer; none at the end
 // of the part in memory.
 func (b *callerBody) inMemory(offset int) []byte {
@@ -326,34 +251,3 @@
 	}
 	return io.MultiReader(readers...)
 }
-
-// attemptBody reads the body for one attempt: first the part in memory, then the rest. The
-// request has no GetBody, so that net/http cannot rewind and resend the body.
-type attemptBody struct {
-	body   *callerBody
-	offset int
-	onEOF  func()
-	gap    bool // an earlier attempt has read bytes that follow the part in memory
-}
-
-// Read implements io.Reader. At the end of the body it calls onEOF.
-func (a *attemptBody) Read(p []byte) (int, error) {
-	if rest := a.body.inMemory(a.offset); len(rest) > 0 {
-		n := copy(p, rest)
-		a.offset += n
-		return n, nil
-	}
-	n, err := 0, io.EOF
-	if !a.body.buffered {
-		n, err = a.body.readSource(a, p)
-	}
-	if err == io.EOF {
-		a.onEOF()
-	}
-	return n, err
-}
-
-// Close does nothing, because the server closes the caller's body.
-func (a *attemptBody) Close() error {
-	return nil
-}
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -28,6 +28,9 @@
 		if err != nil && last != nil && ex.shedWithControl(last) && fault.KindOf(err) == fault.Overloaded {
 			return ex.shedRefusal(last)
 		}
+		if err != nil && last != nil && ex.refusedWhileSending(last) && fault.KindOf(err) == fault.NoCapacity {
+			return ex.refusal(last)
+		}
 		if err != nil {
 			return err
 		}
@@ -42,6 +45,12 @@
 	}
 }
 
+// refusedWhileSending reports whether a target refused the request in f while the caller was
+// sending its body. If no other target takes the request, its caller gets that refusal.
+func (ex *exchange) refusedWhileSending(f *failure) bool {
+	return f.arrived && f.ran == fault.RanNo && !ex.body.buffered
+}
+
 // acquireAndAttempt acquires a permit and runs one attempt, plus a hedged attempt if
 // the first one does not answer in time. The failure is nil if the answer was
 // delivered. An error means that no attempt was made.
--- a/node/command/transport.go
+++ b/node/command/transport.go
@@ -130,3 +130,12 @@
 	}
 	return n, err
 }
+
+// Close closes the connection and ends the reads of the caller's body for it.
+func (c *targetConn) Close() error {
+	err := c.Conn.Close()
+	if g := c.guard.Load(); g != nil {
+		g.connEnded(c)
+	}
+	return err
+}
--- a/node/command/writeguard.go
+++ b/node/command/writeguard.go
@@ -36,6 +36,7 @@
 	maxIdle time.Duration
 
 	mu            sync.Mutex
+	body          *attemptBody // nil if the caller's body is in memory and has no trailer
 	conn          *targetConn
 	requestOnConn int    // number of the request on conn, from 1
 	undone        int    // first writes that sent nothing
@@ -113,6 +114,24 @@
 	return g.checkHeader(header, false)
 }
 
+// setBody sets the body whose reads end with the connection.
+func (g *writeGuard) setBody(body *attemptBody) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.body = body
+}
+
+// connEnded ends the reads of the caller's body if the request was written to c. net/http
+// reports the loss of a connection only once its write loop has returned, which may be waiting
+// for the caller's body.
+func (g *writeGuard) connEnded(c *targetConn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn == c && g.body != nil {
+		g.body.end(errTargetClosed)
+	}
+}
+
 // undoFirstWrite resets the guard after a first write that failed without sending
 // a byte.
 func (g *writeGuard) undoFirstWrite() {
