command: complete answers of targets that close, closes of callers whose target does not read

Cause 1: net/http closes a connection as soon as a write to it fails. A target that answers and closes while the caller still sends its body makes the next write fail, so that an answer that was received but not yet read was lost. Change: after such a failure targetConn.Write returns only once the connection has been closed, which net/http does after it has read the answer.

Cause 2: while a write to the target was blocked, nothing was read from the caller, and a close by the caller within its body was noticed only at the deadline. Change: the next read from the caller starts when the bytes of the last one have been handed over, with the same buffer.

--- a/node/command/bodysource.go
+++ b/node/command/bodysource.go
@@ -70,19 +70,28 @@
 			n := copy(p, b.unsent)
 			b.unsent = b.unsent[n:]
 			b.taken = true
+			// Reading on while the bytes are sent detects a caller that closes its connection
+			// also while the target does not read.
+			b.startFill()
 			return n, nil
 		}
 		if b.sourceErr != nil {
 			return 0, b.sourceErr
 		}
-		if !b.reading {
-			b.reading = true
-			go b.fill()
-		}
+		b.startFill()
 		b.changed.Wait()
 	}
 }
 
+// startFill starts the next read from the caller's connection unless bytes of the last one are
+// left, the body has ended or a read is in progress. The caller holds mu.
+func (b *callerBody) startFill() {
+	if len(b.unsent) == 0 && b.sourceErr == nil && !b.reading {
+		b.reading = true
+		go b.fill()
+	}
+}
+
 // mayRead returns an error unless the attempt with body a may get further bytes. The caller
 // holds mu.
 func (b *callerBody) mayRead(a *attemptBody) error {
--- a/node/command/transport.go
+++ b/node/command/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -74,6 +75,8 @@
 	// lastUsed is the time of the last read or write, in nanoseconds since
 	// processStart; 0 for a new connection.
 	lastUsed atomic.Int64
+	closed   chan struct{} // closed by Close
+	closing  sync.Once
 
 	mu      sync.Mutex
 	framing *framing // parser of the latest answer; nil before the first request
@@ -111,12 +114,21 @@
 	}
 	c.touch()
 	n, err := c.Conn.Write(p)
-	if n == 0 && err != nil {
-		g.undoFirstWrite()
+	undone := n == 0 && err != nil && g.undoFirstWrite()
+	if !undone && isPeerClosed(err) {
+		// net/http closes a connection whose write fails. The target may have answered before it
+		// closed, so net/http first reads up to the end of the answer or of the connection.
+		<-c.closed
 	}
 	return n, err
 }
 
+// isPeerClosed reports whether err is that of a write to a connection that the other side has
+// closed. Reads of the connection then end too.
+func isPeerClosed(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Read reads the answer to the current request. It fails for bytes received before the
 // request was written or after its attempt has ended.
 func (c *targetConn) Read(p []byte) (int, error) {
@@ -134,6 +146,7 @@
 // Close closes the connection and ends the reads of the caller's body for it.
 func (c *targetConn) Close() error {
 	err := c.Conn.Close()
+	c.closing.Do(func() { close(c.closed) })
 	if g := c.guard.Load(); g != nil {
 		g.connEnded(c)
 	}
--- a/node/command/writeguard.go
+++ b/node/command/writeguard.go
@@ -133,8 +133,8 @@
 }
 
 // undoFirstWrite resets the guard after a first write that failed without sending
-// a byte.
-func (g *writeGuard) undoFirstWrite() {
+// a byte. It reports whether the failed write was the first one.
+func (g *writeGuard) undoFirstWrite() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.firstByte {
@@ -145,6 +145,7 @@
 		g.conn = nil
 		g.undone++
 	}
+	return g.firstByte
 }
 
 // recordAnswer records that bytes were received on c. It returns false if the
