command: a reset that a write has seen is not the end of an answer

Cause: Linux reports a reset once, to a read or a write. After a write that failed with it, a read returns the end of the stream, and an answer that ends with its connection counted as complete although it was cut (invariant answer). Before, the connection was closed right after the write, so that the window was short; since targetConn.Write waits for the reader it was not.

Change: at the end of the stream, targetConn asks for the state of the connection, and returns ECONNRESET if it was reset.

TestResetSeenByAWriteIsNotTheEndOfTheAnswer fails without the check.

--- a/node/command/slowcaller_test.go
+++ b/node/command/slowcaller_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,10 +128,10 @@
 
 func (b *watchedBody) Close() error { return nil }
 
-// SetReadDeadline ends the pending read if t has passed.
+// SetReadDeadline ends the pending read at t.
 func (b *watchedBody) SetReadDeadline(t time.Time) error {
-	if !t.IsZero() && !time.Now().Before(t) {
-		b.once.Do(func() { close(b.expired) })
+	if !t.IsZero() {
+		time.AfterFunc(time.Until(t), func() { b.once.Do(func() { close(b.expired) }) })
 	}
 	return nil
 }
@@ -230,6 +231,39 @@
 	}
 }
 
+// Guards against an answer that is cut by a reset and counts as complete, because a write has
+// taken the error of the reset from the system.
+func TestResetSeenByAWriteIsNotTheEndOfTheAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ours, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newTargetConn(ours)
+	defer c.Close()
+	theirs, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(theirs, "cut")
+	_ = theirs.(*net.TCPConn).SetLinger(0)
+	_ = theirs.Close()
+	for write(ours, "more") {
+		time.Sleep(time.Millisecond)
+	}
+	got := make([]byte, 10)
+	if n, err := c.readAndParse(got); string(got[:n]) != "cut" || err != nil {
+		t.Fatalf("read %q, error %v", got[:n], err)
+	}
+	if n, err := c.readAndParse(got); n > 0 || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read %d bytes and error %v after a reset, want ECONNRESET", n, err)
+	}
+}
+
 // Guards against a complete early answer that reaches a slow caller only at its deadline,
 // because the target closes its connection.
 func TestEarlyAnswerDoesNotWaitForASlowCaller(t *testing.T) {
--- a/node/command/targetconn.go
+++ b/node/command/targetconn.go
@@ -89,12 +89,30 @@
 		return 0, rawErr
 	case err != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case n == 0 && len(p) > 0 && c.wasReset():
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
 	case n == 0 && len(p) > 0:
 		return 0, io.EOF
 	}
 	return n, nil
 }
 
+// tcpClosed is the state of a TCP connection that was reset (TCP_CLOSE of Linux).
+const tcpClosed = 7
+
+// wasReset reports whether the other side has reset the connection. The system reports a reset
+// once, to a read or a write; a read after a write that failed with it returns the end of the
+// stream, which must not count as the end of an answer.
+func (c *targetConn) wasReset() bool {
+	reset := false
+	err := c.raw.Control(func(fd uintptr) {
+		// The state is the first byte of the information.
+		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		reset = err != nil || info&0xff == tcpClosed
+	})
+	return reset || err != nil
+}
+
 // parse passes p to the framing parser. c.mu must be held.
 func (c *targetConn) parse(p []byte) {
 	if c.framing != nil {
