command: tests of body bytes that arrive between two attempts and after the handler

TestBytesAwaitedByALostAttemptReachTheRetry now also sends them before the retry has its permit, and TestDetachedBodyIsNotRead is new; both pass.

--- a/node/command/slowcaller_test.go
+++ b/node/command/slowcaller_test.go
@@ -40,19 +40,38 @@
 	return io.MultiReader(strings.NewReader(longPrefix), sent), rest
 }
 
+// onRetry calls a function before the permit of a retry is granted.
+type onRetry struct {
+	*harness
+	do func()
+}
+
+func (p onRetry) Acquire(ctx context.Context, r node.PermitRequest) (node.Permit, error) {
+	if len(r.Avoid) > 0 {
+		p.do()
+	}
+	return p.harness.Acquire(ctx, r)
+}
+
 // Guards against a read of the caller's body whose bytes are lost, because its attempt had ended
-// when they arrived.
+// when they arrived: before the retry has a target, or while it waits for them.
 func TestBytesAwaitedByALostAttemptReachTheRetry(t *testing.T) {
-	for _, h2 := range []bool{false, true} {
+	for _, c := range []struct{ h2, beforeTheRetry bool }{{false, false}, {false, true}, {true, false}, {true, true}} {
 		lost := startRaw(t, losesConnection(prefixBytes))
-		retried, got := make(chan bool, 1), make(chan string, 1)
-		good := startRaw(t, func(_ int64, r *http.Request, c net.Conn) bool {
+		retried, got := make(chan bool, 2), make(chan string, 1)
+		good := startRaw(t, func(_ int64, r *http.Request, conn net.Conn) bool {
 			retried <- true
 			raw, err := io.ReadAll(r.Body)
 			got <- fmt.Sprint(string(raw), r.Trailer, err)
-			return write(c, withEcho(r, okAnswer))
+			return write(conn, withEcho(r, okAnswer))
 		})
 		f := startHarnessAt(t, lost.address, good.address)
+		if c.beforeTheRetry {
+			f.handler.cfg.Picker = onRetry{f, func() {
+				retried <- true
+				time.Sleep(50 * time.Millisecond)
+			}}
+		}
 		body, rest := slowBody(t)
 		trailer := http.Header{"X-Sum": nil}
 		go func() {
@@ -60,12 +79,12 @@
 			_, _ = io.WriteString(rest, "the rest")
 			_ = rest.Close()
 		}()
-		a := f.doOver(h2, "PUT", "/get/x", body, trailer, "X-Early: 1")
+		a := f.doOver(c.h2, "PUT", "/get/x", body, trailer, "X-Early: 1")
 		if a.StatusCode != http.StatusOK {
-			t.Fatalf("HTTP/2 %t: status %d: %s, error %v", h2, a.StatusCode, a.body, a.err)
+			t.Fatalf("%+v: status %d: %s, error %v", c, a.StatusCode, a.body, a.err)
 		}
 		if text := <-got; text != fmt.Sprint(longPrefix+"the rest", trailer, nil) {
-			t.Errorf("HTTP/2 %t: the second target got %d bytes: %.200s", h2, len(text), text[min(len(text), prefixBytes):])
+			t.Errorf("%+v: the second target got %d bytes: %.200s", c, len(text), text[min(len(text), prefixBytes):])
 		}
 	}
 }
@@ -165,6 +184,17 @@
 	}
 }
 
+// Guards against an attempt that begins to read the caller's body after the handler has returned.
+func TestDetachedBodyIsNotRead(t *testing.T) {
+	source := strings.NewReader("rest")
+	b := &callerBody{length: -1, limit: 100, source: io.NopCloser(source)}
+	a := b.forAttempt(func() {})
+	b.detach()
+	if n, err := a.Read(make([]byte, 10)); n > 0 || err != errBodyDetached || source.Len() != len("rest") {
+		t.Errorf("read %d bytes, error %v; %d bytes of the body are left, want all", n, err, source.Len())
+	}
+}
+
 // gatedConn is a connection to a target whose answer is read from byte readFirst on only some
 // time after a write has failed.
 type gatedConn struct {
