command: no further allocation for requests whose body is in memory

The state of a streamed body moves to a struct of its own that only such bodies have, and the channel that reports the close of a connection is created only for a writer that waits for it.

--- a/node/command/body.go
+++ b/node/command/body.go
@@ -50,17 +50,12 @@
 	detached atomic.Bool
 	eof      atomic.Bool // source was read to its end
 	source   io.ReadCloser
-	stream   []byte // buffer for what follows the part in memory; used by fill
-
-	mu        sync.Mutex
-	changed   sync.Cond    // of the fields below
-	consumed  int64        // bytes read from source
-	reading   bool         // fill runs
-	unsent    []byte       // part of stream that was read and that no attempt has taken
-	sourceErr error        // error or io.EOF that follows unsent; nil while source continues
-	taken     bool         // an attempt has taken bytes that follow the part in memory
-	reader    *attemptBody // body of the newest attempt, the only one that may read from source
-	readErr   error        // error that ended source early
+
+	mu       sync.Mutex
+	consumed int64        // bytes read from source
+	stream   *bodyStream  // nil before the first attempt and if the complete body is in memory
+	reader   *attemptBody // body of the newest attempt, the only one that may read from source
+	readErr  error        // error that ended source early
 }
 
 // readBody reads the prefix of the body. An error means that nothing was sent to a
@@ -211,7 +206,7 @@
 func (b *callerBody) replayable() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.buffered || !b.taken
+	return b.buffered || b.stream == nil || !b.stream.taken
 }
 
 // readError returns the error that ended the body early, or nil.
--- a/node/command/bodysource.go
+++ b/node/command/bodysource.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 	"time"
 )
 
@@ -16,14 +17,34 @@
 	errTargetClosed = errors.New("the connection to the target ended while the caller was sending the body")
 )
 
+// bodyStream is the part of a caller's body that does not fit in memory. The mu of its callerBody
+// guards it.
+type bodyStream struct {
+	changed sync.Cond // of the fields below, and of whose turn it is to read
+	reading bool      // fill runs
+	buf     []byte    // used by fill
+	unsent  []byte    // part of buf that was read and that no attempt has taken
+	err     error     // error or io.EOF that follows unsent; nil while the body continues
+	taken   bool      // an attempt has taken bytes of the stream
+}
+
+// wake lets readers check whether they may still read.
+func (s *bodyStream) wake() {
+	if s != nil {
+		s.changed.Broadcast()
+	}
+}
+
 // forAttempt returns the body for the newest attempt and calls onEOF at its end. The bodies of
 // earlier attempts get no further bytes.
 func (b *callerBody) forAttempt(onEOF func()) *attemptBody {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.changed.L = &b.mu
-	b.reader = &attemptBody{body: b, onEOF: onEOF, gap: b.taken}
-	b.changed.Broadcast()
+	if b.stream == nil && !b.buffered {
+		b.stream = &bodyStream{changed: sync.Cond{L: &b.mu}}
+	}
+	b.reader = &attemptBody{body: b, onEOF: onEOF, gap: b.stream != nil && b.stream.taken}
+	b.stream.wake()
 	return b.reader
 }
 
@@ -33,7 +54,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reader = nil
-	b.changed.Broadcast()
+	b.stream.wake()
 }
 
 // detach ends reads from the caller's connection. After an early answer a read may still be in
@@ -47,12 +68,13 @@
 	b.detached.Store(true)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.changed.Broadcast()
-	if b.reading {
-		_ = b.control.SetReadDeadline(time.Now())
+	b.stream.wake()
+	if b.stream == nil || !b.stream.reading {
+		return
 	}
-	for b.reading {
-		b.changed.Wait()
+	_ = b.control.SetReadDeadline(time.Now())
+	for b.stream.reading {
+		b.stream.changed.Wait()
 	}
 }
 
@@ -62,32 +84,33 @@
 func (b *callerBody) readSource(a *attemptBody, p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	s := b.stream
 	for {
 		if err := b.mayRead(a); err != nil {
 			return 0, err
 		}
-		if len(b.unsent) > 0 {
-			n := copy(p, b.unsent)
-			b.unsent = b.unsent[n:]
-			b.taken = true
+		if len(s.unsent) > 0 {
+			n := copy(p, s.unsent)
+			s.unsent = s.unsent[n:]
+			s.taken = true
 			// Reading on while the bytes are sent detects a caller that closes its connection
 			// also while the target does not read.
 			b.startFill()
 			return n, nil
 		}
-		if b.sourceErr != nil {
-			return 0, b.sourceErr
+		if s.err != nil {
+			return 0, s.err
 		}
 		b.startFill()
-		b.changed.Wait()
+		s.changed.Wait()
 	}
 }
 
 // startFill starts the next read from the caller's connection unless bytes of the last one are
 // left, the body has ended or a read is in progress. The caller holds mu.
 func (b *callerBody) startFill() {
-	if len(b.unsent) == 0 && b.sourceErr == nil && !b.reading {
-		b.reading = true
+	if s := b.stream; len(s.unsent) == 0 && s.err == nil && !s.reading {
+		s.reading = true
 		go b.fill()
 	}
 }
@@ -112,26 +135,27 @@
 // fill reads once from the caller's connection, for the newest attempt or the one that follows
 // it, and enforces the limit.
 func (b *callerBody) fill() {
-	if b.stream == nil {
-		b.stream = make([]byte, streamBytes)
+	s := b.stream
+	if s.buf == nil {
+		s.buf = make([]byte, streamBytes)
 	}
 	b.held.AwaitBody(true)
-	n, err := boundedSource{b}.Read(b.stream)
+	n, err := boundedSource{b}.Read(s.buf)
 	b.held.AwaitBody(false)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.unsent = b.stream[:n]
+	s.unsent = s.buf[:n]
 	b.consumed += int64(n)
 	if b.consumed > b.limit {
-		b.unsent, err = nil, errBodyTooLarge
+		s.unsent, err = nil, errBodyTooLarge
 	}
-	b.sourceErr = err
+	s.err = err
 	b.eof.Store(err == io.EOF)
 	if err != nil && err != io.EOF {
 		b.readErr = err
 	}
-	b.reading = false
-	b.changed.Broadcast()
+	s.reading = false
+	s.wake()
 }
 
 // attemptBody reads the body for one attempt: first the part in memory, then the rest. The
@@ -166,7 +190,7 @@
 	a.body.mu.Lock()
 	defer a.body.mu.Unlock()
 	a.ended = err
-	a.body.changed.Broadcast()
+	a.body.stream.wake()
 }
 
 // Close does nothing, because the server closes the caller's body.
--- a/node/command/targetconn.go
+++ b/node/command/targetconn.go
@@ -14,7 +14,7 @@
 // so that bytes in the kernel's receive buffer are detected before a request is
 // written.
 func newTargetConn(conn net.Conn) *targetConn {
-	c := &targetConn{Conn: conn, number: lastConnNumber.Add(1), closed: make(chan struct{})}
+	c := &targetConn{Conn: conn, number: lastConnNumber.Add(1)}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// If this fails, raw is nil and readAndParse uses Conn.Read.
 		c.raw, _ = tcp.SyscallConn()
--- a/node/command/transport.go
+++ b/node/command/transport.go
@@ -75,10 +75,10 @@
 	// lastUsed is the time of the last read or write, in nanoseconds since
 	// processStart; 0 for a new connection.
 	lastUsed atomic.Int64
-	closed   chan struct{} // closed by Close
-	closing  sync.Once
 
 	mu      sync.Mutex
+	closed  bool
+	onClose chan struct{} // closed by Close; nil unless awaitClose waits
 	framing *framing // parser of the latest answer; nil before the first request
 	ids     []uint64 // hashes of the IDs of all requests on the connection
 	raw     syscall.RawConn
@@ -118,7 +118,7 @@
 	if !undone && isPeerClosed(err) {
 		// net/http closes a connection whose write fails. The target may have answered before it
 		// closed, so net/http first reads up to the end of the answer or of the connection.
-		<-c.closed
+		c.awaitClose()
 	}
 	return n, err
 }
@@ -146,9 +146,32 @@
 // Close closes the connection and ends the reads of the caller's body for it.
 func (c *targetConn) Close() error {
 	err := c.Conn.Close()
-	c.closing.Do(func() { close(c.closed) })
+	c.recordClose()
 	if g := c.guard.Load(); g != nil {
 		g.connEnded(c)
 	}
 	return err
 }
+
+func (c *targetConn) recordClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.onClose != nil {
+		close(c.onClose)
+		c.onClose = nil
+	}
+}
+
+// awaitClose waits until Close has been called. Only the writer of the connection calls it.
+func (c *targetConn) awaitClose() {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	wait := make(chan struct{})
+	c.onClose = wait
+	c.mu.Unlock()
+	<-wait
+}
