--- a/node/command/transport.go
+++ b/node/command/transport.go
@@ -79,8 +79,8 @@
 	mu      sync.Mutex
 	closed  bool
 	onClose chan struct{} // closed by Close; nil unless awaitClose waits
-	framing *framing // parser of the latest answer; nil before the first request
-	ids     []uint64 // hashes of the IDs of all requests on the connection
+	framing *framing      // parser of the latest answer; nil before the first request
+	ids     []uint64      // hashes of the IDs of all requests on the connection
 	raw     syscall.RawConn
 }
 
