flood: callers that send or read one byte a second, and the other listeners

TestFloods has no caller that is slow but not silent, and no flood against the listeners of peers, readiness checks and address queries. TestSlowFloods sends such floods, one at a time and in groups against one process, and checks memory, descriptors and one ordinary request (for peers also one signed call).

--- a/cmd/flood/flood_test.go
+++ b/cmd/flood/flood_test.go
@@ -131,19 +131,25 @@
 	t.Helper()
 	time.Sleep(settleTime)
 	err := tb.get()
+	tb.checkUsage(t)
+	if err != nil {
+		t.Errorf("the ordinary request failed: %v", err)
+	}
+}
+
+// checkUsage checks that the process of the first VM is alive and within its resources.
+func (tb *testbed) checkUsage(t *testing.T) {
+	t.Helper()
 	peak, descriptors, alive := tb.usage()
-	t.Logf("peak of memory %d MB, %d descriptors, ordinary request: %v", peak, descriptors, err)
+	t.Logf("peak of memory %d MB, %d descriptors", peak, descriptors)
 	if !alive {
 		t.Fatal("the process has exited")
 	}
-	if peak >= memoryMB {
-		t.Errorf("peak of memory %d MB, the machine has %d MB", peak, memoryMB)
-	}
-	if descriptors >= maxDescriptors {
-		t.Errorf("%d open descriptors, the limit is %d", descriptors, maxDescriptors)
+	if peak >= tb.memoryMB {
+		t.Errorf("peak of memory %d MB, the machine has %d MB", peak, tb.memoryMB)
 	}
-	if err != nil {
-		t.Errorf("the ordinary request failed: %v", err)
+	if descriptors >= tb.descriptors {
+		t.Errorf("%d open descriptors, the limit is %d", descriptors, tb.descriptors)
 	}
 }
 
--- a/cmd/flood/testbed_test.go
+++ b/cmd/flood/testbed_test.go
@@ -34,6 +34,8 @@
 	sharedKey      = "a-shared-key-for-floods-on-loopback"
 	largePath      = "/citas/large"
 	largeBytes     = 16 << 20
+	mediumPath     = "/citas/medium"
+	mediumBytes    = 60_000
 )
 
 // testDeployment returns the deployment of the test: one service with 12 slots.
@@ -46,14 +48,18 @@
 
 // testbed is a fleet of processes. Floods are sent to the first one.
 type testbed struct {
-	vms        []*exec.Cmd
-	program    string
-	files      []string
-	log        *os.File
-	address    string
-	admin      string
-	key        string
-	deployment deployment.Deployment
+	vms     []*exec.Cmd
+	program string
+	files   []string
+	log     *os.File
+	address string
+	admin   string
+	peer    string
+	front   string // IP address of a VM that runs on the users' platform
+	// memoryMB and descriptors are the limits of the first VM.
+	memoryMB, descriptors int
+	key                   string
+	deployment            deployment.Deployment
 }
 
 // startTestbed starts targets, the platform and the VMs.
@@ -63,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tb := &testbed{deployment: testDeployment(), program: filepath.Join(dir, "galenasaild"), vms: make([]*exec.Cmd, vms)}
+	tb := &testbed{deployment: testDeployment(), program: filepath.Join(dir, "galenasaild"), vms: make([]*exec.Cmd, vms), memoryMB: memoryMB, descriptors: maxDescriptors}
 	out, err := exec.Command("go", "build", "-o", tb.program, "github.com/galenasail/galenasail/cmd/galenasaild").CombinedOutput()
 	if err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -81,12 +87,13 @@
 // serveTarget reads the body and answers with a small or a large response.
 func serveTarget(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	if r.URL.Path == largePath {
-		w.Header().Set("Content-Length", strconv.Itoa(largeBytes))
-		_, _ = io.CopyN(w, zeros{}, largeBytes)
+	size := map[string]int64{largePath: largeBytes, mediumPath: mediumBytes}[r.URL.Path]
+	if size == 0 {
+		_, _ = io.WriteString(w, "ok")
 		return
 	}
-	_, _ = io.WriteString(w, "ok")
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	_, _ = io.CopyN(w, zeros{}, size)
 }
 
 // zeros is an endless reader.
@@ -119,7 +126,7 @@
 	if err := p.Publish(tb.ticket(t, ports)); err != nil {
 		t.Fatal(err)
 	}
-	tb.address, tb.admin = list.VMs[0].Address, ports.AdminAddress(0)
+	tb.address, tb.admin, tb.peer = list.VMs[0].Address, ports.AdminAddress(0), list.VMs[0].PeerAddress
 	tb.key = tb.deployment.Workspaces[0].Key()
 	for i, vm := range list.VMs {
 		s := settings.Settings{
