flood: connections that hold only a header, frames or nothing after a request

The mixed floods of slow senders may be thinned out by the budget for bodies, so four further ones fill the connections of callers with nothing that is evicted for its size.

--- a/cmd/flood/slow_test.go
+++ b/cmd/flood/slow_test.go
@@ -52,6 +52,10 @@
 	return []slowCrowd{
 		{"senders on a route", 300, callers, openRequests(route), true, (*testbed).check},
 		{"senders of long bodies on a route", 24, callers, openRequests(route)[2:3], true, (*testbed).check},
+		{"senders of headers", 300, callers, openRequests(route)[:1], true, (*testbed).check},
+		{"senders of HTTP/2 frames", 300, callers, fixed(preface + openFrame), true, (*testbed).check},
+		{"idle after the HTTP/2 preface", 300, callers, fixed(preface), false, (*testbed).check},
+		{"idle after a request without a route", 300, callers, one(followed(request("GET", unknown), "")), false, (*testbed).check},
 		{"senders without a route", 300, callers, openRequests(noRoute), true, (*testbed).check},
 		{"senders of address queries", 300, callers, openRequests(query), true, (*testbed).check},
 		{"senders on the readiness path", 100, admin, openRequests(health), true, (*testbed).checkAdmin},
