limit, membudget: single bytes and unproven connections do not keep their place

A flood kept its connections by sending a byte now and then, by staying idle after the HTTP/2 preface or after a request without a route, or by calls to a peer whose bodies never end, and a new connection from the same address was refused. A header, and a connection without an authenticated request, now count as stalled 1 s after their start, and 4 KiB of a body count as progress; a call to a peer counts as running once its signature is verified, and its connection then belongs to the peers and no longer to its address. As before, stalled connections are closed only when a limit is reached.

Responses that nobody reads exceeded the budget, because their buffers were added without a check. The buffer is now charged before the request is sent; without room the request is refused as not run.

--- a/core/membudget/budget.go
+++ b/core/membudget/budget.go
@@ -33,6 +33,9 @@
 	Body
 	// Writing: the VM waits until the caller has read more of its response.
 	Writing
+	// Unproven: like Idle, but the connection has had no authenticated request. It counts as
+	// stalled after activeGrace.
+	Unproven
 )
 
 const (
@@ -183,8 +186,12 @@
 	b.accounts = b.accounts[:len(b.accounts)-1]
 }
 
-// Progress records that the connection made progress at now and is in phase p.
+// Progress records that the connection made progress at now and is in phase p. A header must be
+// complete, and a connection proven, within the grace: more bytes alone are no progress there.
 func (b *Budget) Progress(a *Account, p Phase, now time.Time) {
+	if p == a.phase && (p == Header || p == Unproven) {
+		return
+	}
 	a.phase, a.progress = p, now
 }
 
--- a/core/membudget/budget_test.go
+++ b/core/membudget/budget_test.go
@@ -43,7 +43,7 @@
 // Guards against closing a connection before the grace of its phase, and against keeping it
 // afterwards while there is no room.
 func TestStalledConnectionsAreClosedFirst(t *testing.T) {
-	for phase, grace := range map[Phase]time.Duration{Header: activeGrace, Body: activeGrace, Writing: activeGrace, Idle: idleGrace} {
+	for phase, grace := range map[Phase]time.Duration{Header: activeGrace, Body: activeGrace, Writing: activeGrace, Unproven: activeGrace, Idle: idleGrace} {
 		for _, late := range []bool{false, true} {
 			b := New(Limits{Bytes: 100, Connections: 10})
 			stalled := open(t, b, "big", 60, start)
@@ -62,6 +62,21 @@
 	}
 }
 
+// Guards against a header, or a connection without an authenticated request, that never counts as
+// stalled because a byte arrives now and then.
+func TestSingleBytesDoNotRenewTheGrace(t *testing.T) {
+	for _, phase := range []Phase{Header, Unproven} {
+		b := New(Limits{Bytes: 100, Connections: 1})
+		slow := open(t, b, "x", 10, start)
+		b.Progress(slow, Running, start)
+		b.Progress(slow, phase, start.Add(time.Second))
+		b.Progress(slow, phase, start.Add(2*time.Second))
+		if _, _, ok := b.Open("x", 10, start.Add(2*time.Second+time.Millisecond)); !ok || !slow.Closed() {
+			t.Errorf("phase %d: granted %v, slow connection closed %v", phase, ok, slow.Closed())
+		}
+	}
+}
+
 // Guards against closing a connection that made progress later than another stalled one.
 func TestLongestStalledIsClosedFirst(t *testing.T) {
 	b := New(Limits{Bytes: 100, Connections: 10})
@@ -157,7 +172,7 @@
 				case 2:
 					b.Close(requester)
 				case 3:
-					b.Progress(requester, Phase(rapid.IntRange(0, 4).Draw(t, "phase")), now)
+					b.Progress(requester, Phase(rapid.IntRange(0, int(Unproven)).Draw(t, "phase")), now)
 				}
 			}
 			for _, a := range evicted {
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -123,6 +123,9 @@
 // forwardWithinRate waits for a token of the workspace's rate limit and forwards
 // the request.
 func (ex *exchange) forwardWithinRate() error {
+	if err := ex.held.ReserveResponse(maxBufferedBytes + 1); err != nil {
+		return err
+	}
 	if ex.workspace != nil {
 		began := time.Now()
 		err := ex.h.cfg.Limiter.Admit(ex.ctx, ex.workspace)
--- a/node/daemon/limits.go
+++ b/node/daemon/limits.go
@@ -148,13 +148,16 @@
 func newGuards(l callerLimits, refusal []byte, scope tally.Scope, events node.Events) guards {
 	guard := func(listener string, limits membudget.Limits) *limit.Guard {
 		return limit.New(limit.Config{
-			Limits: limits, Stall: l.stall, BodyBuffer: l.bodyBuffer, Refusal: refusal,
+			Limits: limits, Stall: l.stall, BodyBuffer: l.bodyBuffer, Refusal: refusal, Authenticated: listener == peerListener,
 			OnRefused: newRefusalRecorder(listener, scope, events).record,
 		})
 	}
-	return guards{callers: guard("callers", l.callers), admin: guard("admin", l.admin), peers: guard("peers", l.peers)}
+	return guards{callers: guard("callers", l.callers), admin: guard("admin", l.admin), peers: guard(peerListener, l.peers)}
 }
 
+// peerListener is the name of the listener for peers, which authenticates each call.
+const peerListener = "peers"
+
 // refusalEventInterval is the least time between two events of one reason.
 const refusalEventInterval = time.Second
 
--- a/node/limit/conn.go
+++ b/node/limit/conn.go
@@ -44,15 +44,32 @@
 	}
 	c.mu.Lock()
 	need, phase := c.received(p[:n], len(p))
+	progress := phase != membudget.Body || c.countBody(n)
 	c.mu.Unlock()
 	if need > 0 && !c.guard.charge(c, need) {
 		c.refuseHeader()
 		return 0, errNoRoom
 	}
-	c.guard.progress(c, phase)
+	if progress {
+		c.guard.progress(c, phase)
+	}
 	return n, err
 }
 
+// minBodyProgress is how many bytes of a body count as progress. Without it, a caller that sends
+// one byte a second would never count as stalled.
+const minBodyProgress = 4 << 10
+
+// countBody counts n bytes of a body and reports whether it made progress. The caller holds mu.
+func (c *Conn) countBody(n int) bool {
+	c.unmarked += n
+	if c.unmarked < minBodyProgress {
+		return false
+	}
+	c.unmarked = 0
+	return true
+}
+
 // received counts bytes that were read into a buffer of the given size. It returns what must
 // be charged for the header and the new phase. The caller holds mu.
 func (c *Conn) received(p []byte, size int) (need int64, phase membudget.Phase) {
@@ -125,13 +142,36 @@
 func (c *Conn) phaseWithoutHeader() membudget.Phase {
 	switch {
 	case c.scan.http2 && !c.active:
-		return membudget.Idle
+		return c.idlePhase()
+	case c.scan.http2 && !c.proven && c.guard.cfg.Authenticated:
+		return membudget.Unproven
 	case c.awaiting:
 		return membudget.Body
 	}
 	return membudget.Running
 }
 
+// idlePhase returns the phase between requests. The caller holds mu.
+func (c *Conn) idlePhase() membudget.Phase {
+	if c.proven {
+		return membudget.Idle
+	}
+	return membudget.Unproven
+}
+
+// assign attributes the connection to a holder whose request was authenticated.
+func (c *Conn) assign(holder string) {
+	c.mu.Lock()
+	first := !c.proven
+	c.proven = true
+	phase := c.phaseWithoutHeader()
+	c.mu.Unlock()
+	c.guard.assign(c, holder)
+	if first {
+		c.guard.progress(c, phase)
+	}
+}
+
 // becomeActive records that the connection has a request.
 func (c *Conn) becomeActive() {
 	c.mu.Lock()
@@ -147,11 +187,12 @@
 	c.scan.startNext()
 	c.deadlines = 0
 	c.active = false
+	phase := c.idlePhase()
 	c.mu.Unlock()
 	if held > 0 {
 		c.guard.release(c, held)
 	}
-	c.guard.progress(c, membudget.Idle)
+	c.guard.progress(c, phase)
 }
 
 // SetWriteDeadline sets the deadline for writes. Each Write has an earlier one if the other
--- a/node/limit/guard.go
+++ b/node/limit/guard.go
@@ -67,6 +67,9 @@
 	// BodyBuffer is the largest part of a body that is read before a target is chosen, in
 	// bytes.
 	BodyBuffer int64
+	// Authenticated says that each HTTP/2 request is authenticated before it is served, so that
+	// a connection without an authenticated one never counts as running. Default: false.
+	Authenticated bool
 	// Refusal is the HTTP/1.1 response to a header for which there is no room. Default: 503
 	// without a body.
 	Refusal []byte
--- a/node/limit/request.go
+++ b/node/limit/request.go
@@ -8,8 +8,9 @@
 // Request is what is held for one request. A nil Request is not bounded. The methods may be
 // called by one goroutine at a time.
 type Request struct {
-	conn *Conn
-	held int64
+	conn     *Conn
+	held     int64
+	reserved int64 // part of held that is meant for the response
 }
 
 // Begin charges the connection of r for the request and its header. It returns nil and no
@@ -61,14 +62,22 @@
 func (q *Request) End() {
 	if q != nil {
 		q.conn.guard.release(q.conn, q.held)
-		q.held = 0
+		q.held, q.reserved = 0, 0
 	}
 }
 
 // Assign attributes the connection to a workspace.
 func (q *Request) Assign(workspace string) {
 	if q != nil {
-		q.conn.guard.assign(q.conn, "workspace "+workspace)
+		q.conn.assign("workspace " + workspace)
+	}
+}
+
+// AssignPeer attributes the connection of r, a call that was authenticated, to the peers. It has
+// no effect on a connection without a Guard.
+func AssignPeer(r *http.Request) {
+	if c := find(NetConn(r.Context())); c != nil {
+		c.assign("peers")
 	}
 }
 
@@ -85,12 +94,30 @@
 	return nil
 }
 
-// HoldResponse counts a buffer for a response until the returned function is called. It
-// always succeeds, because the request has run.
+// ReserveResponse charges a buffer for the response before the request is sent to a target, so
+// that responses which their callers do not read cannot exceed the limits. The error states that
+// the request did not run.
+func (q *Request) ReserveResponse(bytes int64) error {
+	if q == nil || bytes <= q.reserved {
+		return nil
+	}
+	more := bytes - q.reserved
+	if !q.conn.guard.charge(q.conn, more) {
+		return q.conn.guard.refuse(q.conn, NoRequest)
+	}
+	q.held += more
+	q.reserved = bytes
+	return nil
+}
+
+// HoldResponse counts a buffer for a response, as far as it is larger than what ReserveResponse
+// charged, until the returned function is called. It always succeeds, because the request has
+// run.
 func (q *Request) HoldResponse(bytes int64) (release func()) {
-	if q == nil {
+	if q == nil || bytes <= q.reserved {
 		return func() {}
 	}
+	bytes -= q.reserved
 	q.conn.guard.hold(q.conn, bytes)
 	return func() { q.conn.guard.release(q.conn, bytes) }
 }
@@ -102,6 +129,7 @@
 	}
 	q.conn.mu.Lock()
 	q.conn.awaiting = waiting
+	q.conn.unmarked = 0
 	phase := q.conn.phaseWithoutHeader()
 	q.conn.mu.Unlock()
 	q.conn.guard.progress(q.conn, phase)
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -155,7 +155,11 @@
 // key.
 func (s *Server) withAuth(next http.Handler) http.Handler {
 	if len(s.verifier.key) == 0 {
-		return next
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			// The network is trusted, so any call counts as one of a peer.
+			limit.AssignPeer(r)
+			next.ServeHTTP(w, r)
+		})
 	}
 	return s.authenticate(next)
 }
@@ -171,6 +175,7 @@
 			_ = s.errors.Write(w, r, connect.NewError(refusalCode(err), err))
 			return
 		}
+		limit.AssignPeer(r)
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		resp := &responseBuffer{header: w.Header()}
 		next.ServeHTTP(resp, r)
