command: a slow caller leaves its slot to a request that waits for one

A body beyond the buffer that arrives at one byte a second kept a slot of a target until the deadline of its request, and a response that is read at that rate until the stall time, so that 12 such callers kept a service from all others. While another request of the service waits for a target on this VM, the transfer that has waited longest for its caller is now ended each 500 ms, if the caller took over 2 s for less than 16 KiB. Without a waiting request nothing is ended, so a single slow caller is still served. The outcome is reported as after a stall: unknown.

A response is written in pieces of 16 KiB, so that on HTTP/2 a caller which reads 128 KiB at 40 KiB/s is no longer cut off after one stall time per 64 KiB.

TestSlowlyReadResponseIsComplete passes on HTTP/2 (red before).

--- a/node/command/answer.go
+++ b/node/command/answer.go
@@ -299,13 +299,15 @@
 // flushes after each write.
 func (ex *exchange) copyAnswer(from io.Reader, buf []byte, n int) (toCaller, fromTarget error) {
 	control := http.NewResponseController(ex.w)
+	// This call fails only on writers without a connection, as in tests.
+	t := ex.h.transfers.join(ex.service.Name, func() { _ = control.SetWriteDeadline(time.Now()) })
+	defer t.leave()
 	for {
 		if n > 0 {
-			ex.boundStreamWrite(control)
-			if _, err := ex.w.Write(buf[:n]); err != nil {
+			if err := ex.writePieces(control, t, buf[:n]); err != nil {
 				return err, nil
 			}
-			if err := control.Flush(); err != nil {
+			if _, err := t.wait(func() (int, error) { return 0, control.Flush() }); err != nil {
 				return err, nil
 			}
 		}
@@ -320,6 +322,30 @@
 	return nil, fromTarget
 }
 
+// pieceBytes is the part of a response after which its caller counts as progressing. With one
+// deadline for 64 KiB, a caller on HTTP/2 that reads 5 KiB/s would be cut off.
+const pieceBytes = minTransferBytes
+
+var errResponseSlow = errors.New("the caller reads too slowly while other requests wait")
+
+// writePieces writes p to the caller and counts the time that the caller takes.
+func (ex *exchange) writePieces(control *http.ResponseController, t *transfer, p []byte) error {
+	for len(p) > 0 {
+		piece := p[:min(pieceBytes, len(p))]
+		p = p[len(piece):]
+		ex.boundStreamWrite(control)
+		if t.isEnded() {
+			// The deadline set here may have replaced the one that ends the transfer.
+			return errResponseSlow
+		}
+		n, err := t.wait(func() (int, error) { return ex.w.Write(piece) })
+		if err != nil || n < len(piece) {
+			return errors.Join(err, io.ErrShortWrite)
+		}
+	}
+	return nil
+}
+
 // boundStreamWrite bounds the wait for an HTTP/2 caller that reads nothing of its stream. The
 // connection itself bounds writes of HTTP/1.
 func (ex *exchange) boundStreamWrite(control *http.ResponseController) {
--- a/node/command/body.go
+++ b/node/command/body.go
@@ -45,6 +45,7 @@
 	deadline time.Time                // of the request
 	readTill time.Time                // deadline that is set for reads
 	held     *limit.Request           // nil without a bound
+	join     func(end func()) *transfer
 
 	detached atomic.Bool
 	eof      atomic.Bool // source was read to its end
@@ -56,12 +57,15 @@
 	begun    bool         // an attempt has begun to read what follows the part in memory
 	reader   *attemptBody // body of the newest attempt, the only one that may read from source
 	readErr  error        // error that ended source early
+
+	transfer *transfer // nil until bytes are streamed; guarded by reading
 }
 
 // readBody reads the prefix of the body. An error means that nothing was sent to a
 // target.
 func (ex *exchange) readBody() error {
 	b := &callerBody{source: ex.r.Body, length: ex.r.ContentLength, limit: ex.route.MaxBodyBytes, deadline: ex.deadline, held: ex.held}
+	b.join = func(end func()) *transfer { return ex.h.transfers.join(ex.service.Name, end) }
 	ex.body = b
 	if ex.r.Body == nil || ex.r.Body == http.NoBody {
 		b.buffered = true
@@ -175,8 +179,13 @@
 		// The deadline set here may have replaced the one with which detach ends a read.
 		return 0, errBodyDetached
 	}
-	n, err := b.source.Read(p)
-	if b.stalled(err) {
+	ended := b.transfer != nil && b.transfer.isEnded()
+	var n int
+	var err error
+	if !ended {
+		n, err = b.source.Read(p)
+	}
+	if ended || b.stalled(err) {
 		b.held.ReportStalledBody()
 		err = errBodyStalled
 	}
@@ -228,9 +237,15 @@
 		_ = b.control.SetReadDeadline(time.Now())
 		b.reading.Lock()
 	}
+	b.transfer.leave()
 	b.reading.Unlock()
 }
 
+// endSlow ends the reads of a body that is streamed too slowly while other requests wait.
+func (b *callerBody) endSlow() {
+	_ = b.control.SetReadDeadline(time.Now())
+}
+
 // fullyRead reports whether the body was read to its end. If not, an HTTP/1.1
 // connection must not be reused: the rest would be parsed as the next request.
 func (b *callerBody) fullyRead() bool {
@@ -262,12 +277,24 @@
 	if err := b.beginRead(a); err != nil {
 		return 0, err
 	}
+	if b.transfer == nil && b.held != nil {
+		b.transfer = b.join(b.endSlow)
+	}
 	b.held.AwaitBody(true)
-	n, err := boundedSource{b}.Read(p)
+	n, err := b.readStreamed(p)
 	b.held.AwaitBody(false)
 	return n, b.endRead(n, err)
 }
 
+// readStreamed reads from source and counts the time that the caller takes.
+func (b *callerBody) readStreamed(p []byte) (int, error) {
+	read := func() (int, error) { return boundedSource{b}.Read(p) }
+	if b.transfer == nil {
+		return read()
+	}
+	return b.transfer.wait(read)
+}
+
 // beginRead returns an error unless the attempt with body a may read from source.
 func (b *callerBody) beginRead(a *attemptBody) error {
 	b.mu.Lock()
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -147,6 +147,7 @@
 	idempotency      idempotencyTable
 	quarantine       *quarantine
 	outcomes         serviceOutcomes
+	transfers        transfers
 	notices          *targetNotices
 	reporter         *requestReporter
 	returns          callerReturns
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -55,7 +55,9 @@
 		defer func() { ex.h.quarantine.probeEnded(ex.fingerprint, f) }()
 	}
 	began := time.Now()
+	stop := ex.h.transfers.endWhileWaiting(ex.service.Name)
 	p, err := ex.h.cfg.Picker.Acquire(ex.ctx, ex.permitRequest())
+	stop()
 	ex.permitWait += time.Since(began)
 	if err != nil {
 		err = ex.h.notices.withReturnTime(ex.service.Name, err, time.Now())
--- a/node/command/slowcaller_test.go
+++ b/node/command/slowcaller_test.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -103,23 +104,26 @@
 		h2          bool
 		size, piece int
 	}{{false, 64 << 20, 2 << 20}, {true, 128 << 10, 4 << 10}} {
-		f, _ := slowHarness(t, slowBounds(), c.size)
-		req, err := http.NewRequest("GET", f.url+"/get/x", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		req.Header.Set("Authorization", "Bearer "+testKey)
-		transport := callerTransport(false)
-		if c.h2 {
-			transport = slowTransport(t, true)
-		}
-		resp, err := transport.RoundTrip(req)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if n, err := readSlowly(resp.Body, int64(c.piece), 100*time.Millisecond); n != int64(c.size) || err != io.EOF {
-			t.Errorf("HTTP/2 %v: %d of %d bytes, error %v", c.h2, n, c.size, err)
-		}
+		t.Run(fmt.Sprintf("HTTP/2 %v", c.h2), func(t *testing.T) {
+			t.Parallel()
+			f, _ := slowHarness(t, slowBounds(), c.size)
+			req, err := http.NewRequest("GET", f.url+"/get/x", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer "+testKey)
+			transport := callerTransport(false)
+			if c.h2 {
+				transport = slowTransport(t, true)
+			}
+			resp, err := transport.RoundTrip(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n, err := readSlowly(resp.Body, int64(c.piece), 100*time.Millisecond); n != int64(c.size) || err != io.EOF {
+				t.Errorf("%d of %d bytes, error %v", n, c.size, err)
+			}
+		})
 	}
 }
 
@@ -128,19 +132,22 @@
 func TestSlowBodyOfAnySizeIsServed(t *testing.T) {
 	for _, h2 := range []bool{false, true} {
 		for _, first := range []int{0, 100_000} {
-			f, _ := slowHarness(t, slowBounds(), 2)
-			body, rest := io.Pipe()
-			go func() {
-				_, _ = io.WriteString(rest, strings.Repeat("x", first))
-				for range 8 {
-					time.Sleep(300 * time.Millisecond)
-					_, _ = io.WriteString(rest, "x")
+			t.Run(fmt.Sprintf("HTTP/2 %v, %d bytes at once", h2, first), func(t *testing.T) {
+				t.Parallel()
+				f, _ := slowHarness(t, slowBounds(), 2)
+				body, rest := io.Pipe()
+				go func() {
+					_, _ = io.WriteString(rest, strings.Repeat("x", first))
+					for range 8 {
+						time.Sleep(300 * time.Millisecond)
+						_, _ = io.WriteString(rest, "x")
+					}
+					_ = rest.Close()
+				}()
+				if a := f.doOver(h2, "POST", "/post/x", body, nil); a.body != "xx" {
+					t.Errorf("status %d, body %q, error %v", a.StatusCode, a.body, a.err)
 				}
-				_ = rest.Close()
-			}()
-			if a := f.doOver(h2, "POST", "/post/x", body, nil); a.body != "xx" {
-				t.Errorf("HTTP/2 %v, %d bytes at once: status %d, body %q, error %v", h2, first, a.StatusCode, a.body, a.err)
-			}
+			})
 		}
 	}
 }
