command: outcomes of services that a new configuration lacks are dropped

The entry VM kept the outcomes of every service that was ever configured. The map is now reduced when the first request under a new configuration arrives, and a request that ends after the removal of its service adds no entry again.

--- a/node/command/config.go
+++ b/node/command/config.go
@@ -199,6 +199,7 @@
 	ix := &routeIndex{snapshot: snapshot, routes: route.NewIndex(snapshot.Routes), splitter: h.currentSplitter()}
 	h.index.Store(ix)
 	h.returns.retain(snapshot)
+	h.outcomes.retain(snapshot)
 	return ix
 }
 
--- a/node/command/outcomes.go
+++ b/node/command/outcomes.go
@@ -4,20 +4,38 @@
 	"sync"
 	"time"
 
+	"github.com/galenasail/galenasail/core/document"
 	"github.com/galenasail/galenasail/core/target"
 )
 
-// serviceOutcomes counts for each service how requests ended. It is safe for concurrent use.
-// The number of entries is bounded by the services of the configurations that were in force.
+// serviceOutcomes counts for each service of the configuration in force how requests ended. It is
+// safe for concurrent use.
 type serviceOutcomes struct {
 	mu        sync.Mutex
 	byService map[string]*target.ServiceFailures
+	// services holds the services of the configuration in force; nil before the first one.
+	services map[string]*document.Service
 }
 
-// record records the end of one request.
+// retain drops the services that a new configuration lacks.
+func (o *serviceOutcomes) retain(s *document.Snapshot) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.services = s.Services
+	for name := range o.byService {
+		if s.Services[name] == nil {
+			delete(o.byService, name)
+		}
+	}
+}
+
+// record records the end of one request. A request may end after its service was removed.
 func (o *serviceOutcomes) record(service string, served bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.services != nil && o.services[service] == nil {
+		return
+	}
 	f := o.byService[service]
 	if f == nil {
 		f = target.NewServiceFailures()
