--- a/core/membudget/budget.go
+++ b/core/membudget/budget.go
@@ -33,8 +33,8 @@
 	Body
 	// Writing: the VM waits until the caller has read more of its response.
 	Writing
-	// Unproven: like Idle, but the connection has had no authenticated request. It counts as
-	// stalled after activeGrace.
+	// Unproven: like Idle, but the connection has had no request of an ordinary caller or a peer.
+	// It counts as stalled after activeGrace.
 	Unproven
 )
 
--- a/node/command/admit.go
+++ b/node/command/admit.go
@@ -102,6 +102,7 @@
 		ex.held.Assign(ex.workspace.ID)
 	}
 	if ex.route.Open {
+		ex.held.Prove()
 		return nil
 	}
 	if ex.workspace == nil {
--- a/node/limit/conn.go
+++ b/node/limit/conn.go
@@ -161,12 +161,17 @@
 
 // assign attributes the connection to a holder whose request was authenticated.
 func (c *Conn) assign(holder string) {
+	c.prove()
+	c.guard.assign(c, holder)
+}
+
+// prove records that the connection has had a request of an ordinary caller or a peer.
+func (c *Conn) prove() {
 	c.mu.Lock()
 	first := !c.proven
 	c.proven = true
 	phase := c.phaseWithoutHeader()
 	c.mu.Unlock()
-	c.guard.assign(c, holder)
 	if first {
 		c.guard.progress(c, phase)
 	}
--- a/node/limit/limit_test.go
+++ b/node/limit/limit_test.go
@@ -252,3 +252,28 @@
 	close(release)
 	transport.CloseIdleConnections()
 }
+
+// Guards against an idle connection of an ordinary caller that is closed as early as one without
+// an accepted request, and against one without that keeps its place for as long.
+func TestIdleConnectionsWithoutAnAcceptedRequestAreClosedFirst(t *testing.T) {
+	for _, assigned := range []bool{false, true} {
+		b := startBounded(t, membudget.Limits{Bytes: 1 << 20, Connections: 1}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if assigned {
+				AssignPeer(r)
+			}
+		}))
+		idle := b.dial("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		b.wantStatus(idle, "200")
+		time.Sleep(1100 * time.Millisecond) // above the grace of an unproven connection
+		next := b.dial("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		if !assigned {
+			b.wantStatus(next, "200")
+			continue
+		}
+		_, _ = io.WriteString(idle, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, _ = io.Copy(io.Discard, io.LimitReader(idle, 1))
+		if held, n := b.guard.Usage(); n != 1 || held < connBytes {
+			t.Errorf("%d connections with %d bytes, want the idle one", n, held)
+		}
+	}
+}
--- a/node/limit/listener.go
+++ b/node/limit/listener.go
@@ -69,7 +69,7 @@
 	scan     headerScan
 	active   bool // a request is being served
 	awaiting bool // the VM waits for more of the body of the only request
-	proven   bool // the connection has had an authenticated request
+	proven   bool // the connection has had a request of an ordinary caller or a peer
 	// unmarked is the number of bytes of the body since the last progress.
 	unmarked int
 	// uncounted is the number of lines that net/http may have in its buffer and that belong to
--- a/node/limit/request.go
+++ b/node/limit/request.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// Prove records that the connection serves an ordinary caller without a workspace, whose idle
+// connection is kept like one of a workspace.
+func (q *Request) Prove() {
+	if q != nil {
+		q.conn.prove()
+	}
+}
+
 // AssignPeer attributes the connection of r, a call that was authenticated, to the peers. It has
 // no effect on a connection without a Guard.
 func AssignPeer(r *http.Request) {
