--- a/node/command/slowcaller_test.go
+++ b/node/command/slowcaller_test.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -77,8 +78,8 @@
 func slowTransport(t *testing.T, h2 bool) *http.Transport {
 	transport := callerTransport(h2)
 	transport.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerConnection: 64 << 10, MaxReceiveBufferPerStream: 64 << 10}
-	transport.Dial = func(network, address string) (net.Conn, error) {
-		c, err := net.Dial(network, address)
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, address)
 		if err == nil {
 			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
 		}
