overload: a workspace's own rise no longer raises the bound of its excess

Demand compared the recent demand of a workspace with its usual one relative to the rise of all workspaces, itself included. A large workspace therefore raised its own bound: at 7.5 times its demand it took about 1 s until its requests counted as in excess. In that time 363 requests/s more than the service completes were due before the others, the others waited up to 250 ms, and the queue drained over several seconds. With two workspaces of equal demand the bound could not be reached at all. The rise is now that of the other workspaces; a workspace on its own is never in excess, as before.

TestExcessOfALargeWorkspace fails on the former code.

--- a/core/overload/demand.go
+++ b/core/overload/demand.go
@@ -18,6 +18,9 @@
 	// requests arrive irregularly.
 	excessRatio = 2
 	excessSlack = 3
+	// minOthersDemand is the usual demand of the other workspaces, in requests within
+	// recentTime, from which their rise is known.
+	minOthersDemand = 1
 	// excessWeight is the weight of a request in excess in the usual demand, so that a
 	// lasting rise becomes usual within some minutes.
 	excessWeight = 0.2
@@ -28,8 +31,8 @@
 	forgottenBelow = 0.05
 )
 
-// Demand compares the recent demand of each workspace with its usual one. A rise of the
-// demand of all workspaces is not an excess of any. The zero value knows no workspace.
+// Demand compares the recent demand of each workspace with its usual one. A rise that the
+// other workspaces share is not an excess. The zero value knows no workspace.
 type Demand struct {
 	workspaces map[string]*workspaceDemand
 	all        workspaceDemand
@@ -52,18 +55,29 @@
 		d.all = workspaceDemand{first: now, last: now}
 	}
 	d.all.record(now)
-	d.all.usual++
-	rise := max(1, d.all.recent/max(1, d.all.usualRecent(now)))
 	w.record(now)
-	excess = now.Sub(w.first) >= minKnownTime && w.recent > excessRatio*rise*w.usualRecent(now)+excessSlack
+	excess = now.Sub(w.first) >= minKnownTime && w.recent > excessRatio*d.riseBeside(w, now)*w.usualRecent(now)+excessSlack
+	weight := 1.0
 	if excess {
-		w.usual += excessWeight
-	} else {
-		w.usual++
+		weight = excessWeight
 	}
+	w.usual += weight
+	d.all.usual += weight
 	return excess
 }
 
+// riseBeside returns the ratio of the recent to the usual demand of the other workspaces,
+// at least 1. The rise of w itself does not count: a large workspace would otherwise raise
+// the bound that its own demand is compared with. Where the others have no usual demand it
+// is the ratio of all workspaces, so that a workspace on its own is never in excess.
+func (d *Demand) riseBeside(w *workspaceDemand, now time.Time) float64 {
+	others := workspaceDemand{recent: d.all.recent - w.recent, usual: d.all.usual - w.usual, first: d.all.first}
+	if usual := others.usualRecent(now); usual >= minOthersDemand {
+		return max(1, others.recent/usual)
+	}
+	return max(1, d.all.recent/max(1, d.all.usualRecent(now)))
+}
+
 // workspace returns the counts of a workspace, nil when there are too many workspaces.
 func (d *Demand) workspace(name string, now time.Time) *workspaceDemand {
 	if w := d.workspaces[name]; w != nil {
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// Guards against a large workspace whose own rise counts as one of all workspaces and hides
+// its excess, and against a workspace on its own that counts as in excess.
+func TestExcessOfALargeWorkspace(t *testing.T) {
+	for _, others := range []int{0, 1} {
+		var d Demand
+		now := time.Unix(1000, 0)
+		excess := map[string]int{}
+		for step := range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			for i := range 1 + others {
+				if (step%10 == i || step >= 1500 && i == 0) && d.Record(fmt.Sprint(i), now) {
+					excess[fmt.Sprint(i)]++
+				}
+			}
+		}
+		if got := excess["0"] > 300; got != (others > 0) || excess["1"] > 0 {
+			t.Errorf("%d other workspaces: requests in excess %v, want more than 300 of workspace 0 only beside others", others, excess)
+		}
+	}
+}
+
 // Guards against first requests that count as returning, against returning ones that do
 // not, and against a few callers with longer deadlines that make all others count as
 // returning.
