soak: faults under hard load and misbehaving callers

Seeds with the settings for hard load (seed modulo 4 is 2) also lose a failure domain with its VMs and targets during a burst, send bursts of the lowest priority that need more slots than their service has, let the platform return from an older copy during a burst, and keep misbehaving callers beside the ordinary ones. The stand-in of the platform can return from a copy; a watch from a revision that it does not have gets 410. The stand-in of a target takes a factor of the service time for each request. The rate of the workspaces of bursts and misbehaving callers is checked like that of the others.

A graceful stop that has not ended after 65 s is now reported and leaves the stacks of the process in its log. Before, the soak waited without a limit: the first run of seed 2 with the new faults hung for 10 min on VM 2, which logged "367 requests still running when the shutdown timeout ended" and did not exit.

--- a/cmd/internal/standin/platform/server.go
+++ b/cmd/internal/standin/platform/server.go
@@ -163,7 +163,8 @@
 }
 
 // watch handles GET /v1/watch/{key}: it answers once the value has a revision above
-// the parameter after, or with status 204 after waitMs milliseconds.
+// the parameter after, or with status 204 after waitMs milliseconds. A revision that the
+// platform has not assigned, or no longer has since it returned from a copy, gets 410.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
 	after, errAfter := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	waitMs, errWait := strconv.ParseUint(r.URL.Query().Get("waitMs"), 10, 32)
@@ -184,6 +185,10 @@
 			http.Error(w, "the platform is unavailable", http.StatusServiceUnavailable)
 			return
 		}
+		if !s.store.hasRevision(after) {
+			http.Error(w, "revision not found", http.StatusGone)
+			return
+		}
 		if ok && v.revision > after {
 			writeValue(w, v)
 			return
--- a/cmd/internal/standin/target/cold.go
+++ b/cmd/internal/standin/target/cold.go
@@ -69,8 +69,9 @@
 }
 
 // serviceTime returns a random service time for a request that starts at now.
-func (t *Target) serviceTime(f Fault, now time.Time) time.Duration {
+func (t *Target) serviceTime(r *http.Request, f Fault, now time.Time) time.Duration {
 	d := t.random.lognormal(t.config.MedianServiceTime, t.config.Sigma)
+	d = time.Duration(float64(d) * t.config.ServiceTimeFactor(r))
 	if f.SlowFactor > 0 {
 		d = time.Duration(float64(d) * f.SlowFactor)
 	}
--- a/cmd/internal/standin/target/serve.go
+++ b/cmd/internal/standin/target/serve.go
@@ -130,7 +130,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	select {
-	case <-time.After(t.serviceTime(f, time.Now())):
+	case <-time.After(t.serviceTime(r, f, time.Now())):
 	case <-ctx.Done():
 		t.recordCanceled()
 		panic(http.ErrAbortHandler)
--- a/cmd/internal/standin/target/target.go
+++ b/cmd/internal/standin/target/target.go
@@ -42,6 +42,9 @@
 	// Sigma is the standard deviation of the logarithm of the service time.
 	// Default: 0, a constant time.
 	Sigma float64
+	// ServiceTimeFactor returns the factor by which the service time of a request is longer.
+	// Default: 1.
+	ServiceTimeFactor func(r *http.Request) float64
 	// ColdSlots is the number of concurrent requests that a cold target can
 	// handle. Default: 1.
 	ColdSlots int
@@ -72,6 +75,9 @@
 	if c.OnRun == nil {
 		c.OnRun = func(*http.Request) {}
 	}
+	if c.ServiceTimeFactor == nil {
+		c.ServiceTimeFactor = func(*http.Request) float64 { return 1 }
+	}
 	if c.ColdSlots <= 0 {
 		c.ColdSlots = 1
 	}
--- a/cmd/soak/process_test.go
+++ b/cmd/soak/process_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/galenasail/galenasail/node/settings"
 )
@@ -29,8 +30,14 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// overdue counts the graceful stops that took longer than exitTimeout.
+	overdue int
 }
 
+// exitTimeout bounds a graceful stop, which has to end within 60 s. The rest is for a busy
+// machine.
+const exitTimeout = 65 * time.Second
+
 // newProcess writes the settings file of a VM to dir. The process is not started.
 func newProcess(program, dir string, s *settings.Settings) (*process, error) {
 	raw, err := json.Marshal(s)
@@ -80,6 +87,20 @@
 	return p.exited
 }
 
+// terminate stops the process gracefully and waits until it has exited. A process that has
+// not exited within exitTimeout is counted and ended with SIGQUIT, which writes its stacks
+// to its log.
+func (p *process) terminate() {
+	select {
+	case <-p.signal(syscall.SIGTERM):
+	case <-time.After(exitTimeout):
+		p.mu.Lock()
+		p.overdue++
+		p.mu.Unlock()
+		<-p.signal(syscall.SIGQUIT)
+	}
+}
+
 // kill kills the process and waits until it has exited.
 func (p *process) kill() {
 	<-p.signal(syscall.SIGKILL)
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -61,8 +62,8 @@
 // Guards against invariants that hold with all VMs in one process but not with
 // separate processes that are killed, paused and partitioned at the same time. With
 // odd seeds the VMs read a published list, with even seeds they find each other
-// through seed VMs, and with every other even seed requests stay in their failure domain and
-// overload control is on. To replay seed N:
+// through seed VMs, and with every other even seed requests stay in their failure domain,
+// overload control is on, and the faults of hardLoadFaultKinds are added. To replay seed N:
 //
 //	go test ./soak -run TestSoak -soak.seed N -soak.seeds 1
 //
@@ -97,9 +98,13 @@
 	})
 	tb := startTestbed(t, dir, *vmCount, seed)
 	tb.awaitHealthy(t)
+	r := rand.New(rand.NewPCG(seed, 0))
+	tb.faults = newVMPool(r, len(tb.vms))
+	tb.faultsBegan = time.Now()
+	tb.faultsEnd = tb.faultsBegan.Add(*faultPeriod)
 	var targetFaults sync.WaitGroup
 	targetFaults.Go(func() { tb.injectTargetFaults(t, seed, *faultPeriod) })
-	tb.injectFaults(t, rand.New(rand.NewPCG(seed, 0)), *faultPeriod)
+	tb.injectFaults(t, r, *faultPeriod)
 	targetFaults.Wait()
 	tb.clearFaults()
 	tb.awaitHealthy(t)
@@ -161,7 +166,7 @@
 func (tb *testbed) checkGracefulStops(t *testing.T) {
 	for i := range gracefulStops {
 		began := time.Now()
-		<-tb.vms[i].signal(syscall.SIGTERM)
+		tb.vms[i].terminate()
 		tb.restartIfExited(t, i)
 		tb.awaitHealthy(t)
 		tb.reportProblem(t, tb.incompleteSince(began))
@@ -248,7 +253,7 @@
 		tb.vms[i].kill()
 		time.Sleep(during)
 	}},
-	{"stop", func(tb *testbed, i int, _ *rand.Rand, _ time.Duration) { <-tb.vms[i].signal(syscall.SIGTERM) }},
+	{"stop", func(tb *testbed, i int, _ *rand.Rand, _ time.Duration) { tb.vms[i].terminate() }},
 	{"stop, then kill", func(tb *testbed, i int, _ *rand.Rand, during time.Duration) {
 		tb.vms[i].signal(syscall.SIGTERM)
 		time.Sleep(during / 2)
@@ -290,19 +295,18 @@
 func (tb *testbed) injectFaults(t *testing.T, r *rand.Rand, during time.Duration) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	pool := newVMPool(r, len(tb.vms))
 	began := time.Now()
 	for time.Since(began) < during {
 		k := faultKinds[r.IntN(len(faultKinds))]
 		own := rand.New(rand.NewPCG(r.Uint64(), 0))
 		duration := randomFaultTime(r)
 		pause := time.Duration(r.Int64N(int64(maxFaultPause)))
-		i := pool.acquire()
+		i := tb.faults.acquire()
 		t.Logf("%6.2f s  %s, VM %d, %v", time.Since(began).Seconds(), k.name, i+1, duration.Round(time.Millisecond))
 		running.Go(func() {
 			k.inject(tb, i, own, duration)
 			tb.restartIfExited(t, i)
-			pool.release(i)
+			tb.faults.release(i)
 		})
 		time.Sleep(pause)
 	}
@@ -341,6 +345,30 @@
 	return i
 }
 
+// reservePoll is the interval at which reserve checks whether a VM is free.
+const reservePoll = 20 * time.Millisecond
+
+// reserve waits until each of the given VMs may have a fault and takes them.
+func (p *vmPool) reserve(vms []int) {
+	for _, i := range vms {
+		p.slots <- true
+		for !p.take(i) {
+			time.Sleep(reservePoll)
+		}
+	}
+}
+
+// take takes a VM and reports whether it was free.
+func (p *vmPool) take(i int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := slices.Index(p.free, i)
+	if at >= 0 {
+		p.free = slices.Delete(p.free, at, at+1)
+	}
+	return at >= 0
+}
+
 // release returns a VM to the pool.
 func (p *vmPool) release(i int) {
 	p.mu.Lock()
--- a/cmd/soak/targetfaults_test.go
+++ b/cmd/soak/targetfaults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -25,14 +26,16 @@
 
 // targetFaultKind is a kind of fault of targets and of the network between VMs and them.
 type targetFaultKind struct {
-	name   string
+	name string
+	// pause is the longest time between two faults of this kind.
+	pause  time.Duration
 	inject func(tb *testbed, t *testing.T, r *rand.Rand, during time.Duration)
 }
 
 // targetFaultKinds lists the faults of targets. The position of a kind is part of the seed
 // of its random source.
 var targetFaultKinds = []targetFaultKind{
-	{"restarts under new IDs", func(tb *testbed, t *testing.T, r *rand.Rand, during time.Duration) {
+	{"restarts under new IDs", maxFaultPause, func(tb *testbed, t *testing.T, r *rand.Rand, during time.Duration) {
 		service := r.IntN(len(tb.deployment.Services))
 		tb.restartTargets(t, service)
 		time.Sleep(entriesApplied)
@@ -41,26 +44,33 @@
 		setFaults(tb.targetsOf(service), usualFault)
 		tb.removeFormerEntries(t, service)
 	}},
-	{"path to targets", func(tb *testbed, _ *testing.T, r *rand.Rand, during time.Duration) {
+	{"path to targets", maxFaultPause, func(tb *testbed, _ *testing.T, r *rand.Rand, during time.Duration) {
 		domain := tb.deployment.Domains[r.IntN(len(tb.deployment.Domains))]
-		tb.setTargetPaths(domain, 1+mode(r.IntN(int(modeCount)-1)))
+		m := 1 + mode(r.IntN(int(modeCount)-1))
+		defer tb.lockPaths(domain)()
+		tb.setTargetPaths(domain, m)
 		time.Sleep(during)
 		tb.setTargetPaths(domain, passing)
 	}},
 }
 
 // injectTargetFaults injects each kind of target fault again and again, beside the other
-// kinds and the faults of VMs.
+// kinds and the faults of VMs. Seeds with the settings for hard load also have the faults
+// that belong to it.
 func (tb *testbed) injectTargetFaults(t *testing.T, seed uint64, during time.Duration) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	setFaults(tb.targets, usualFault)
 	began := time.Now()
-	for i, k := range targetFaultKinds {
+	kinds := targetFaultKinds
+	if tb.hardLoad {
+		kinds = slices.Concat(kinds, hardLoadFaultKinds)
+	}
+	for i, k := range kinds {
 		r := rand.New(rand.NewPCG(seed, uint64(i+1)))
 		running.Go(func() {
 			for time.Since(began) < during {
-				time.Sleep(time.Duration(r.Int64N(int64(maxFaultPause))))
+				time.Sleep(time.Duration(r.Int64N(int64(k.pause))))
 				duration := randomFaultTime(r)
 				t.Logf("%6.2f s  %s, %v", time.Since(began).Seconds(), k.name, duration.Round(time.Millisecond))
 				k.inject(tb, t, r, duration)
@@ -84,6 +94,25 @@
 	return tb.targets[first : first+tb.deployment.Services[service].Targets]
 }
 
+// targetsIn returns the targets in a failure domain.
+func (tb *testbed) targetsIn(domain string) []*target.Target {
+	var in []*target.Target
+	for i, one := range tb.targets {
+		if tb.targetDomains[i] == domain {
+			in = append(in, one)
+		}
+	}
+	return in
+}
+
+// lockPaths waits until no other fault uses the paths to the targets of a failure domain
+// and keeps others from using them until unlock is called.
+func (tb *testbed) lockPaths(domain string) (unlock func()) {
+	mu := &tb.pathsInUse[slices.Index(tb.deployment.Domains, domain)]
+	mu.Lock()
+	return mu.Unlock
+}
+
 // setTargetPaths sets the mode of the network to the targets of a failure domain.
 func (tb *testbed) setTargetPaths(domain string, m mode) {
 	for i, p := range tb.targetProxies {
@@ -99,27 +128,33 @@
 	for _, one := range tb.targetsOf(service) {
 		one.Crash()
 	}
+	tb.configMu.Lock()
 	listed := tb.incarnations[service]
 	last := listed[len(listed)-1]
 	tb.incarnations[service] = append(listed, last+1, last+2)
+	tb.configMu.Unlock()
 	tb.publishServices(t)
 }
 
 // removeFormerEntries leaves only the newest ID of each target of a service.
 func (tb *testbed) removeFormerEntries(t *testing.T, service int) {
+	tb.configMu.Lock()
 	listed := tb.incarnations[service]
 	tb.incarnations[service] = listed[len(listed)-1:]
+	tb.configMu.Unlock()
 	tb.publishServices(t)
 }
 
 func (tb *testbed) publishServices(t *testing.T) {
+	tb.configMu.Lock()
+	defer tb.configMu.Unlock()
 	if err := tb.publish(tb.serviceDocuments()...); err != nil {
 		t.Error(err)
 	}
 }
 
 // serviceDocuments returns the services with an entry for each listed incarnation of each
-// target.
+// target. The caller holds configMu.
 func (tb *testbed) serviceDocuments() []deployment.NamedDocument {
 	var documents []deployment.NamedDocument
 	for i := range tb.deployment.Services {
--- a/cmd/soak/testbed_test.go
+++ b/cmd/soak/testbed_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,15 +67,27 @@
 	// incarnations holds, for each service, the numbers of those starts of its targets
 	// that the configuration lists.
 	incarnations [][]int
-	ledger       *ledger.Ledger
-	results      *callerResults
-	ticket       uint64
+	// configMu guards ticket and incarnations.
+	configMu sync.Mutex
+	// pathsInUse holds a lock for each failure domain. See lockPaths.
+	pathsInUse []sync.Mutex
+	ledger     *ledger.Ledger
+	results    *callerResults
+	ticket     uint64
 	// bySeeds is true when the VMs find each other through seed VMs instead of a
 	// published list.
 	bySeeds bool
 	// hardLoad switches on what is meant for fleets under hard load: locality, choice by
-	// expected load and overload control.
+	// expected load, overload control, and the faults of hardLoadFaultKinds.
 	hardLoad bool
+	// extraRequests numbers the requests of bursts and misbehaving callers.
+	extraRequests atomic.Int64
+	// running holds targets and callers; the test waits for them at its end.
+	running sync.WaitGroup
+	// faults assigns VMs to faults.
+	faults *vmPool
+	// faultsBegan and faultsEnd bound the time for which faults are injected.
+	faultsBegan, faultsEnd time.Time
 }
 
 // callerResults counts the results of callers by workspace. It is safe for concurrent
@@ -161,20 +174,20 @@
 	}
 	tb := &testbed{deployment: testDeployment(), ports: ports, platform: platform.New(platform.Config{}), ledger: ledger.New(), results: newCallerResults(), bySeeds: seed%2 == 0, hardLoad: seed%4 == 2}
 	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
+	tb.pathsInUse = make([]sync.Mutex, len(tb.deployment.Domains))
 	t.Cleanup(func() {
 		cancel()
-		running.Wait()
+		tb.running.Wait()
 	})
-	tb.startTargets(ctx, t, &running)
+	tb.startTargets(ctx, t)
 	tb.startVMs(t, dir, vms)
-	tb.startCallers(ctx, &running)
+	tb.startCallers(ctx)
 	return tb
 }
 
-func (tb *testbed) startTargets(ctx context.Context, t *testing.T, running *sync.WaitGroup) {
+func (tb *testbed) startTargets(ctx context.Context, t *testing.T) {
 	var keys []string
-	for _, ws := range tb.deployment.Workspaces {
+	for _, ws := range tb.workspaces() {
 		keys = append(keys, ws.Key())
 	}
 	for i := range tb.deployment.Services {
@@ -186,11 +199,11 @@
 			tb.targetProxies = append(tb.targetProxies, startProxy(t, doc.Address, l.Addr().String()))
 			one := target.New(target.Config{
 				ID: doc.ID, Slots: doc.Slots, MedianServiceTime: medianServiceTime, Sigma: 0.4, ColdSlots: 1, ColdRamp: coldRamp,
-				Keys: keys, Seed: uint64(len(tb.targets) + 1), OnRun: tb.ledger.RunRecorder(doc.FailureDomain),
+				Keys: keys, ServiceTimeFactor: burstServiceTime, Seed: uint64(len(tb.targets) + 1), OnRun: tb.ledger.RunRecorder(doc.FailureDomain),
 			})
 			tb.targets = append(tb.targets, one)
 			tb.targetDomains = append(tb.targetDomains, doc.FailureDomain)
-			running.Go(func() { _ = one.Serve(ctx, l) })
+			tb.running.Go(func() { _ = one.Serve(ctx, l) })
 		}
 	}
 }
@@ -212,7 +225,7 @@
 	for range tb.deployment.Services {
 		tb.incarnations = append(tb.incarnations, []int{0})
 	}
-	if err := tb.publish(append(tb.deployment.Documents(tb.ports), tb.serviceDocuments()...)...); err != nil {
+	if err := tb.publish(tb.documents()...); err != nil {
 		t.Fatal(err)
 	}
 	program := buildDaemon(t, dir)
@@ -246,6 +259,7 @@
 func (tb *testbed) settings(s *settings.Settings, list *member.List) *settings.Settings {
 	if tb.hardLoad {
 		s.LocalDomains, s.AnticipateLoad, s.OverloadControl = tb.deployment.Domains, true, true
+		s.CallerLimits.StallMs = stallMs
 	}
 	if !tb.bySeeds {
 		return s
@@ -257,7 +271,8 @@
 	return s
 }
 
-// publish publishes documents as the next ticket.
+// publish publishes documents as the next ticket. The caller holds configMu while faults are
+// injected.
 func (tb *testbed) publish(documents ...deployment.NamedDocument) error {
 	file := &document.TicketFile{Ticket: tb.ticket + 1, Documents: map[string]json.RawMessage{}}
 	for _, d := range documents {
@@ -271,11 +286,8 @@
 	return tb.platform.Publish(file)
 }
 
-func (tb *testbed) startCallers(ctx context.Context, running *sync.WaitGroup) {
-	var addresses []string
-	for _, p := range tb.callerProxies {
-		addresses = append(addresses, p.listener.Addr().String())
-	}
+func (tb *testbed) startCallers(ctx context.Context) {
+	addresses := tb.callerAddresses()
 	for i, ws := range tb.deployment.Workspaces {
 		factor := loadFactor
 		if i == 0 {
@@ -290,7 +302,7 @@
 				tb.results.record(ws.ID, r, res)
 			},
 		}
-		running.Go(func() {
+		tb.running.Go(func() {
 			stream.Run(ctx)
 			caller.Close()
 		})
--- a/cmd/soak/violations_test.go
+++ b/cmd/soak/violations_test.go
@@ -25,7 +25,14 @@
 			out = append(out, fmt.Sprintf("key: a target received %d workspace keys", n))
 		}
 	}
-	for _, ws := range tb.deployment.Workspaces {
+	for i, vm := range tb.vms {
+		vm.mu.Lock()
+		if vm.overdue > 0 {
+			out = append(out, fmt.Sprintf("exit: VM %d had not exited %v after SIGTERM, %d times; its log has the stacks", i+1, exitTimeout, vm.overdue))
+		}
+		vm.mu.Unlock()
+	}
+	for _, ws := range tb.workspaces() {
 		if x := tb.ledger.RateExcess(ws.ID, ws.Rate, ws.Burst); x > 0 {
 			out = append(out, fmt.Sprintf("rate: %s ran %.0f requests above its rate and burst", ws.ID, x))
 		}
@@ -48,6 +55,7 @@
 		tb.ledger.RunRecorder("gt-central-a")(r)
 	}
 	scenarios := map[string]func(tb *testbed){
+		"exit": func(tb *testbed) { tb.vms = []*process{{overdue: 1}} },
 		"once": func(tb *testbed) {
 			run(tb, post.Path)
 			run(tb, post.Path)
