pool: a report no longer holds the entry's lock while it waits for a client

servicesWithPermits held the lock of the entry while it took that of each client. acquireDegraded and endPermit of a degraded permit take them the other way round. Once both met, no request of the VM got a permit any more, not even at its deadline, and the VM did not exit on SIGTERM.

The report now collects the clients first. TestReportWaitsForNoClient... fails on the former code in 1 of 1 run.

--- a/node/pool/failure_test.go
+++ b/node/pool/failure_test.go
@@ -229,3 +229,27 @@
 		t.Fatalf("the new holder did not record the lost connection: %+v", st)
 	}
 }
+
+// Guards against a deadlock of all requests of a VM: a report that takes the lock of a client
+// while it holds that of the entry, while a permit of degraded mode takes them the other way
+// round.
+func TestReportWaitsForNoClientWithTheLockOfTheEntry(t *testing.T) {
+	p := &Pool{}
+	client := &groupClient{service: "bookings"}
+	p.entry.clients = map[string]*groupClient{"bookings#0": client}
+	client.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		p.servicesWithPermits()
+		close(done)
+	}()
+	time.Sleep(50 * time.Millisecond) // The goroutine now waits for the client.
+	for end := time.Now().Add(2 * time.Second); !p.entry.mu.TryLock(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the lock of the entry is held while the report waits for a client")
+		}
+	}
+	p.entry.mu.Unlock()
+	client.mu.Unlock()
+	<-done
+}
--- a/node/pool/report.go
+++ b/node/pool/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/galenasail/galenasail/core/document"
@@ -43,10 +45,8 @@
 // with placement by health estimates, whose new holders do not wait for reports, none is sent
 // unless the holder asks: after a restart of a large fleet, each VM would call each holder.
 func (p *Pool) servicesWithPermits() map[string]bool {
-	p.entry.mu.Lock()
-	defer p.entry.mu.Unlock()
 	found := map[string]bool{}
-	for _, c := range p.entry.clients {
+	for _, c := range p.allClients() {
 		if !found[c.service] && c.holdsPermits() {
 			found[c.service] = true
 		}
@@ -54,6 +54,15 @@
 	return found
 }
 
+// allClients returns the clients of all groups. A permit of degraded mode is granted and ended
+// with the lock of a client before that of the entry, so the lock of the entry is not held
+// while one of a client is taken.
+func (p *Pool) allClients() []*groupClient {
+	p.entry.mu.Lock()
+	defer p.entry.mu.Unlock()
+	return slices.Collect(maps.Values(p.entry.clients))
+}
+
 // holdsPermits reports whether this VM holds permits of the group, or ended ones that no holder
 // has confirmed.
 func (c *groupClient) holdsPermits() bool {
