platform: a reader follows a platform that has returned from an older copy

A watch from a revision that the platform no longer had counted as failed and was repeated from the same revision for up to 30 s, until the next plain read. With three VMs, all of them readers, a ticket published after the return was not in force 15 s later; 3 s are promised. The stand-in answers 410 in this case, as the users' store does, and the reader then reads the value at once.

--- a/cmd/internal/standin/platform/fleet_test.go
+++ b/cmd/internal/standin/platform/fleet_test.go
@@ -172,3 +172,30 @@
 	waitFor(t, "ticket 3 applied", f.allAtTicket(3))
 	waitFor(t, "failure domain taken out on five VMs", func() bool { return f.events.count(event.DomainOut) == 5 })
 }
+
+// Guards against readers that wait for a revision that the platform no longer has, after it
+// has returned from an older copy, and against a ticket of the copy that replaces a newer one.
+func TestReadersFollowAPlatformThatReturnsFromACopy(t *testing.T) {
+	const domains = `{"ticket":%d,"documents":{"domains":{"kind":"domains","domains":[{"name":"d","state":"%s"}]}}}`
+	s := New(Config{})
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	publish(t, s, fmt.Sprintf(domains, 1, "in"))
+	if err := s.SetList(testList(3, 1), 0); err != nil {
+		t.Fatal(err)
+	}
+	f := startFleet(t, 3, server.URL)
+	waitFor(t, "ticket 1 applied", f.allAtTicket(1))
+	copied := s.Copy()
+	for ticket := 2; ticket <= 6; ticket++ {
+		publish(t, s, fmt.Sprintf(domains, ticket, "in"))
+	}
+	waitFor(t, "ticket 6 applied", f.allAtTicket(6))
+	s.ReturnFrom(copied)
+	time.Sleep(time.Second)
+	if !f.allAtTicket(6)() {
+		t.Error("a VM has left ticket 6 for one of the copy")
+	}
+	publish(t, s, fmt.Sprintf(domains, 7, "out"))
+	waitFor(t, "ticket 7 applied", f.allAtTicket(7))
+}
--- a/node/platform/source.go
+++ b/node/platform/source.go
@@ -24,7 +24,8 @@
 	// Read returns the current value of key.
 	Read(ctx context.Context, key string) config.Value
 	// Watch returns the value of key as soon as its revision is greater than after. It
-	// returns config.Unchanged when that is not the case within wait.
+	// returns config.Unchanged when that is not the case within wait, and the current value,
+	// as Read does, when the platform no longer has that revision.
 	Watch(ctx context.Context, key string, after uint64, wait time.Duration) config.Value
 }
 
@@ -46,7 +47,8 @@
 
 // Read implements Source.
 func (h *HTTP) Read(ctx context.Context, key string) config.Value {
-	return h.get(ctx, "/v1/values/"+escapeKey(key))
+	v, _ := h.get(ctx, "/v1/values/"+escapeKey(key))
+	return v
 }
 
 // Watch implements Source.
@@ -55,7 +57,13 @@
 		"after":  {strconv.FormatUint(after, 10)},
 		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	return h.get(ctx, "/v1/watch/"+escapeKey(key)+"?"+query.Encode())
+	v, status := h.get(ctx, "/v1/watch/"+escapeKey(key)+"?"+query.Encode())
+	if status == http.StatusGone {
+		// The platform has returned from an older copy. A watch from the lost revision would
+		// miss changes until revisions have passed it.
+		return h.Read(ctx, key)
+	}
+	return v
 }
 
 // escapeKey escapes a key for a URL path except for its slashes.
@@ -67,37 +75,38 @@
 	return strings.Join(parts, "/")
 }
 
-// get requests path and returns config.Failed for any error.
-func (h *HTTP) get(ctx context.Context, path string) config.Value {
+// get requests path and returns config.Failed for any error, and the HTTP status, 0 without a
+// response.
+func (h *HTTP) get(ctx context.Context, path string) (v config.Value, status int) {
 	failed := config.Value{Status: config.Failed}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+path, nil)
 	if err != nil {
-		return failed
+		return failed, 0
 	}
 	req.Header.Set(readerHeader, h.reader)
 	res, err := h.client.Do(req)
 	if err != nil {
-		return failed
+		return failed, 0
 	}
 	defer func() { _ = res.Body.Close() }()
 	raw, err := readBounded(res.Body, document.MaxValueBytes)
 	if err != nil {
-		return failed
+		return failed, res.StatusCode
 	}
 	switch res.StatusCode {
 	case http.StatusNoContent:
-		return config.Value{Status: config.Unchanged}
+		return config.Value{Status: config.Unchanged}, res.StatusCode
 	case http.StatusNotFound:
-		return config.Value{Status: config.Missing}
+		return config.Value{Status: config.Missing}, res.StatusCode
 	case http.StatusOK:
 	default:
-		return failed
+		return failed, res.StatusCode
 	}
 	revision, err := strconv.ParseUint(res.Header.Get("Platform-Revision"), 10, 64)
 	if err != nil {
-		return failed
+		return failed, res.StatusCode
 	}
-	return config.Value{Status: config.Found, Raw: raw, Revision: revision}
+	return config.Value{Status: config.Found, Raw: raw, Revision: revision}, res.StatusCode
 }
 
 // readBounded reads r to its end. It returns an error when r has more than limit bytes.
