pool: repeats are checked at the grant, and none is allowed without a holder

Cause: the retry budget was checked when a repeat was admitted to the queue and counted when it got a slot, so repeats that waited together all passed. Repeats of a group without a holder used permits that no holder counts. A new holder had no share before its first periodic pass.

Change: grantPermit checks the budget again, acquireDegraded grants no repeat where a fleet budget applies, and newGroup sets the share of the lease.

--- a/node/pool/degraded.go
+++ b/node/pool/degraded.go
@@ -16,8 +16,13 @@
 // acquireDegraded returns a permit without asking a holder, for a group without
 // an exclusive one. It uses the power of two choices among the last known warm
 // targets of the group, with at most one request of this VM per target. It
-// returns nil when no target qualifies.
+// returns nil when no target qualifies, and for a repeat that a holder would
+// have to count: it waits until the group has one.
 func (p *Pool) acquireDegraded(c *groupClient, q *acquireRequest) *permitUse {
+	counted := p.config.FleetRetryBudget != (target.FleetRetryBudget{}) && q.Service.Placement == document.ByHealthEstimate
+	if counted && (q.Retry || q.Hedge) {
+		return nil
+	}
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/pool/exchange.go
+++ b/node/pool/exchange.go
@@ -238,6 +238,14 @@
 		return true
 	}
 	now := time.Now()
+	if w.acquire.Repeat && g.byHealthEstimate() && !g.holder.MayRepeat(now) {
+		// Repeats that were admitted before it have used up the budget.
+		if g.control != nil {
+			g.control.withheld++
+		}
+		w.finish(h.refuse(g, w, 0, now))
+		return true
+	}
 	w.acquire.Overdue = now.After(w.due)
 	w.acquire.MayIdle = !g.byHealthEstimate() && h.lowLoad(g, now)
 	grant, ok := g.holder.Acquire(w.acquire, now)
--- a/node/pool/holder.go
+++ b/node/pool/holder.go
@@ -86,13 +86,18 @@
 	g := h.group(l, v, hold, now)
 	g.holder.Tick(now, h.pool.config.Contact.InContact)
 	h.check.Floor(g.holder)
-	g.holder.SetShare(float64(hold.Grants) / float64(max(1, hold.Members)))
+	g.holder.SetShare(leaseShare(hold))
 	g.queue.Expire(now, func(w *waiter) { w.finish(h.expiredResponse(g, w, now)) })
 	h.serveQueue(g)
 	h.recordBusy(g, now)
 	h.recordOverload(g, now)
 }
 
+// leaseShare returns the share of the members that granted the lease.
+func leaseShare(hold node.HeldLease) float64 {
+	return float64(hold.Grants) / float64(max(1, hold.Members))
+}
+
 // exclusiveLease returns the lease on s. ok is true only if the lease is
 // exclusive at this moment.
 func (h *holderActor) exclusiveLease(s member.Shard) (node.HeldLease, bool) {
@@ -151,6 +156,7 @@
 		queue:  newQueue(v.Service.Placement),
 		list:   l.list,
 	}
+	g.holder.SetShare(leaseShare(hold))
 	if q, ok := g.queue.(*target.DueQueue[*waiter]); ok && c.OverloadControl {
 		g.control = &overloadControl{}
 		q.SetRules(h.serveRules(g))
