roster: a VM that reaches no other counts its seeds and the VMs that it knew

Cause: a VM that restarted cut off from its peers considered itself, after 6 s, the only member and gave out the whole of each rate; so did a VM that stayed cut off for longer than the 60 s after which VMs leave the list.

Change: the list of a VM carries the number of unreached VMs. Rates, cold bounds and the reserve of the retry budget are divided among them too. Before the first contact these are the other seeds, afterwards the VMs that expired since another VM was last heard of. A VM that announced its departure does not count, nor does the VM itself as a seed.

TestIsolatedVMCountsItsSeeds counted 1 VM before and counts 3 now.

--- a/core/lease/state.go
+++ b/core/lease/state.go
@@ -218,9 +218,9 @@
 }
 
 // memberCount returns the number of VMs that may grant a shard of the cell, those removed
-// recently included.
+// recently and those unreached included.
 func (s *State) memberCount() int {
-	return s.list.Len() + len(s.removedAt)
+	return s.list.LenWithUnreached() + len(s.removedAt)
 }
 
 // fleetSize returns the number of VMs among which rates are divided.
--- a/core/member/cell.go
+++ b/core/member/cell.go
@@ -84,7 +84,7 @@
 	own := bestCell(id, keys)
 	sub := &List{Version: l.Version, CellSize: l.CellSize}
 	if l.CellSize > 0 {
-		sub.fleetLen = l.Len()
+		sub.fleetLen = l.FleetLen()
 	}
 	for _, vm := range l.VMs {
 		if bestCell(vm.ID, keys) == own {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -45,6 +45,10 @@
 	// CellSize is the target size of a cell in VMs; 0 means DefaultCellSize. It must be
 	// the same on all VMs of a fleet.
 	CellSize int `json:"-"`
+	// Unreached is the number of VMs that are not in VMs but may be serving: the VM whose
+	// list this is reaches no other VM, and they may only be cut off from it. Rates and
+	// limits are divided among them too.
+	Unreached int `json:"-"`
 	// fleetLen is the number of VMs of the fleet when this list is one of its cells
 	// and the cells divide the rates of workspaces; else 0.
 	fleetLen int
@@ -89,13 +93,21 @@
 }
 
 // FleetLen returns the number of VMs among which the rates of workspaces are divided: those
-// of the whole fleet where all its cells serve the same workspaces, else those of l. It
-// returns 0 for a nil list.
+// of the whole fleet where all its cells serve the same workspaces, else those of l and the
+// unreached ones. It returns 0 for a nil list.
 func (l *List) FleetLen() int {
 	if l == nil {
 		return 0
 	}
-	return max(l.fleetLen, len(l.VMs))
+	return max(l.fleetLen, l.LenWithUnreached())
+}
+
+// LenWithUnreached returns the number of members and unreached VMs; 0 for a nil list.
+func (l *List) LenWithUnreached() int {
+	if l == nil {
+		return 0
+	}
+	return len(l.VMs) + l.Unreached
 }
 
 // Quorum returns the number of grants that make a lease exclusive among n members: 5/8 of n,
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -53,6 +53,7 @@
 	digest   uint64
 	// cellSize is the target size of a cell in VMs.
 	cellSize int
+	unreached
 }
 
 // New returns a roster that holds only the VM self. Instance identifies this VM's process.
@@ -60,6 +61,7 @@
 // member.DefaultCellSize.
 func New(self member.VM, instance uint64, cellSize int) *Roster {
 	r := &Roster{self: self, instance: instance, entries: map[string]*entry{}, cellSize: cellSize}
+	r.lost = map[string]bool{}
 	r.rebuild()
 	return r
 }
@@ -102,10 +104,11 @@
 	return rest
 }
 
-// Merge adds the records that another VM sent. It returns true when the set of VMs or the
-// state of one changed.
+// Merge adds the records that another VM sent, its own first. It returns true when the set of
+// VMs, the state of one or the number of unreached ones changed.
 func (r *Roster) Merge(all []MemberRecord, now time.Time) bool {
-	changed := false
+	fromOther := len(all) > 0 && all[0].VM.ID != r.self.ID && all[0].Age == 0
+	changed := fromOther && r.recordReached(now)
 	for _, record := range all {
 		changed = r.merge(record, now) || changed
 	}
@@ -170,9 +173,9 @@
 	if at.After(e.lastSeen) {
 		e.lastSeen = at
 	}
-	changed := false
+	changed := r.recordReached(at)
 	if e.instance != instance {
-		changed = e.left
+		changed = changed || e.left
 		e.instance, e.left = instance, false
 	}
 	if leaving && e.markLeft(at) {
@@ -184,14 +187,20 @@
 }
 
 // Expire removes VMs from which no VM received a heartbeat for ExpireAfter, and VMs that
-// announced their departure at least leftRetention ago.
+// announced their departure at least leftRetention ago. The former still count until another
+// VM is heard of: this VM may be the one that is cut off.
 func (r *Roster) Expire(now time.Time) {
 	removed := false
 	for id, e := range r.entries {
-		if now.Sub(e.lastSeen) >= ExpireAfter || (e.left && now.Sub(e.leftAt) >= leftRetention) {
-			delete(r.entries, id)
-			removed = true
+		left := e.left && now.Sub(e.leftAt) >= leftRetention
+		if !left && now.Sub(e.lastSeen) < ExpireAfter {
+			continue
 		}
+		if !e.left {
+			r.recordLost(id, now)
+		}
+		delete(r.entries, id)
+		removed = true
 	}
 	if removed {
 		r.rebuild()
@@ -213,7 +222,7 @@
 	}
 	sort.Slice(vms, func(i, j int) bool { return vms[i].ID < vms[j].ID })
 	r.version++
-	r.list = &member.List{Version: r.version, VMs: vms, CellSize: r.cellSize}
+	r.list = &member.List{Version: r.version, VMs: vms, CellSize: r.cellSize, Unreached: r.unreached.count()}
 }
 
 // memberDigest returns the contribution of one VM to the digest, which is the sum over all VMs.
--- a/node/roster/roster.go
+++ b/node/roster/roster.go
@@ -102,6 +102,7 @@
 
 	mu            sync.Mutex
 	seeds         []string
+	selfAddresses map[string]bool // peer addresses at which this VM reached itself
 	core          *roster.Roster
 	joined        bool // the first list was published
 	lastSeedQuery time.Time
@@ -114,7 +115,8 @@
 func New(cfg Config) *Roster {
 	r := &Roster{cfg: cfg, start: time.Now()}
 	r.core = roster.New(cfg.Identity.VM, cfg.Identity.Instance, cfg.CellSize)
-	r.seeds = cfg.Seeds
+	r.selfAddresses = map[string]bool{cfg.Identity.VM.PeerAddress: true}
+	r.setSeeds(cfg.Seeds)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
@@ -135,7 +137,30 @@
 func (r *Roster) SetSeeds(seeds []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.setSeeds(seeds)
+}
+
+// setSeeds replaces the seeds. A VM that reaches none of the others counts them as members.
+// mu must be held once the roster is started.
+func (r *Roster) setSeeds(seeds []string) {
 	r.seeds = seeds
+	others := map[string]bool{}
+	for _, address := range seeds {
+		if !r.selfAddresses[address] {
+			others[address] = true
+		}
+	}
+	r.core.SetSeedCount(len(others))
+}
+
+// recordSelf records that the VM at address is this one.
+func (r *Roster) recordSelf(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.selfAddresses[address] {
+		r.selfAddresses[address] = true
+		r.setSeeds(r.seeds)
+	}
 }
 
 // List returns the VM list; nil before the first one is published.
@@ -350,6 +375,9 @@
 		return nil, false
 	}
 	received = fromProto(resp.GetMembers())
+	if len(received) > 0 && received[0].VM.ID == r.cfg.Identity.VM.ID {
+		r.recordSelf(address)
+	}
 	r.merge(received)
 	return received, true
 }
--- a/node/roster/roster_test.go
+++ b/node/roster/roster_test.go
@@ -148,3 +148,37 @@
 		t.Errorf("interval after startPeriod: got %v, want seedInterval", p)
 	}
 }
+
+// Guards against a VM that restarts cut off from its peers and then uses the whole of each rate,
+// and against one that counts itself, under another address, or a repeated address as a peer.
+func TestIsolatedVMCountsItsSeeds(t *testing.T) {
+	n := &network{vms: map[string]*Roster{}, down: map[string]bool{"p1": true, "p2": true}}
+	published := func(r *Roster) *member.List {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.start = time.Now().Add(-isolatedAfter)
+		r.publish(time.Now())
+		return r.List()
+	}
+	alone := n.start(t, 0, "p0", "p1", "p2", "p2")
+	if l := published(alone); l.Len() != 1 || l.FleetLen() != 3 {
+		t.Errorf("%d VMs listed and %d counted by a VM that reaches neither of 2 other seeds, want 1 and 3", l.Len(), l.FleetLen())
+	}
+	alone.SetSeeds([]string{"p0", "p1"})
+	if l := published(alone); l.FleetLen() != 2 {
+		t.Errorf("%d VMs counted after a change of the seeds, want 2", l.FleetLen())
+	}
+	sole := n.start(t, 4, "p4")
+	if l := published(sole); l.FleetLen() != 1 {
+		t.Errorf("%d VMs counted by a VM whose only seed is itself, want 1", l.FleetLen())
+	}
+	n.mu.Lock()
+	n.vms["alias"] = sole
+	n.mu.Unlock()
+	sole.SetSeeds([]string{"p4", "alias"})
+	for deadline := time.Now().Add(5 * time.Second); published(sole).FleetLen() != 1; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("a VM that reached itself under another address counts two VMs after 5 s")
+		}
+	}
+}
