target: a request that does not reach its target earns no repeats

Cause: a first request whose target could not be connected to counts as a first request again at its next attempt, so one request paid for two shares of the retry budget, most of all while a failure domain is lost.

Change: a release with the outcome unreachable or unused takes back what the request earned.

--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -81,7 +81,7 @@
 	s.lastGrant = now
 	s.running[permitKey{a.Caller.Instance, h.lastID}] = p
 	s.health.recordGrant(now)
-	h.recordRepeat(a.Repeat, now)
+	h.countRequest(p, a.Repeat, now)
 	g.Permit, g.Target, g.Cold = h.lastID, s.doc.ID, s.ramp.cold
 	return g, true
 }
@@ -148,6 +148,7 @@
 		p, ok := h.permits[permitKey{c.Instance, r.Permit}]
 		if ok {
 			h.observe(p, r, now)
+			h.discountRequest(p, r.Outcome, now)
 		}
 	}
 	for _, r := range releases {
--- a/core/target/holder.go
+++ b/core/target/holder.go
@@ -121,6 +121,10 @@
 	// concurrency is the highest number of requests that were on the target together with
 	// this one, itself included.
 	concurrency int
+	// first is true while the permit counts as a first request for the retry budget, for
+	// which it earned this part of a repeat.
+	first  bool
+	earned float64
 	// ageStrikes is how often the permit's age has been recorded as a bad outcome.
 	ageStrikes int
 }
--- a/core/target/repeats.go
+++ b/core/target/repeats.go
@@ -34,10 +34,27 @@
 	return h.retries.allows(budgetShare, now)
 }
 
-// recordRepeat records a request that got a target, and whether it is a repeat.
-func (h *Holder) recordRepeat(repeated bool, now time.Time) {
+// countRequest counts a request that got a target, and whether it is a repeat.
+func (h *Holder) countRequest(p *permit, repeated bool, now time.Time) {
+	if h.retries.budget == (FleetRetryBudget{}) {
+		return
+	}
 	h.retries.setPart(h.reservePart(), now)
-	h.retries.record(repeated, now)
+	if repeated {
+		h.retries.recordRepeat(now)
+		return
+	}
+	p.first = true
+	p.earned = h.retries.recordFirst(now)
+}
+
+// discountRequest takes back the count of a first request that did not reach its target. A
+// repeat stays counted.
+func (h *Holder) discountRequest(p *permit, o Outcome, now time.Time) {
+	if p.first && (o == Unreachable || o == Unused) {
+		p.first = false
+		h.retries.revokeFirst(p.earned, now)
+	}
 }
 
 // reservePart returns the part of the reserve of the retry budget that belongs to this
--- a/core/target/repeats_fleet_test.go
+++ b/core/target/repeats_fleet_test.go
@@ -38,7 +38,7 @@
 	// grant again.
 	grantee [budgetGroups][budgetVMs]int
 	grantAt [budgetGroups][budgetVMs]time.Time
-	// first and repeated are the times of all requests that got a target.
+	// first and repeated are the times of all requests that reached a target.
 	first, repeated []time.Time
 	failure         string
 }
@@ -85,7 +85,8 @@
 	return h
 }
 
-// send sends one request to a random holder of the group.
+// send sends one request to a random holder of the group. Some first requests cannot connect
+// to their target.
 func (f *budgetFleet) send(group int, repeated bool) {
 	h := f.holder(group, f.grantee[group][f.random.IntN(budgetVMs)])
 	if h == nil || repeated && !h.MayRepeat(f.now) {
@@ -95,7 +96,14 @@
 	if !ok {
 		return
 	}
-	h.Release(Caller{VM: "vm", Instance: 1}, []Release{{Permit: g.Permit, Outcome: OK, Latency: time.Millisecond}}, f.now)
+	outcome := OK
+	if !repeated && f.random.IntN(4) == 0 {
+		outcome = Unreachable
+	}
+	h.Release(Caller{VM: "vm", Instance: 1}, []Release{{Permit: g.Permit, Outcome: outcome, Latency: time.Millisecond}}, f.now)
+	if outcome == Unreachable {
+		return
+	}
 	if !repeated {
 		f.first = append(f.first, f.now)
 		return
--- a/core/target/repeats_test.go
+++ b/core/target/repeats_test.go
@@ -29,7 +29,11 @@
 			if repeated && !r.allows(1, now) {
 				continue
 			}
-			r.record(repeated, now)
+			if repeated {
+				r.recordRepeat(now)
+			} else {
+				r.recordFirst(now)
+			}
 			all = append(all, arrival{now, repeated})
 		}
 		for i, from := range all {
@@ -68,25 +72,25 @@
 		t.Error("a new holder may repeat without a request")
 	}
 	for range 100 {
-		r.record(false, start)
+		r.recordFirst(start)
 	}
 	if r.allows(1, start) {
 		t.Error("a new holder may use the requests with which its predecessor may have paid for repeats")
 	}
 	paid := start.Add(RepeatWait)
 	for range 10 {
-		r.record(false, paid)
+		r.recordFirst(paid)
 	}
 	repeats := 0
 	for ; r.allows(1, paid); repeats++ {
-		r.record(true, paid)
+		r.recordRepeat(paid)
 	}
 	if repeats != 2 {
 		t.Errorf("%d repeats for 10 first requests at a new holder, want 2", repeats)
 	}
 	later := paid.Add(debtBuckets * accountBucket)
 	for repeats = 0; r.allows(1, later); repeats++ {
-		r.record(true, later)
+		r.recordRepeat(later)
 	}
 	if repeats != 10 {
 		t.Errorf("%d repeats with half of a reserve of 20 after the window, want 10", repeats)
--- a/core/target/retry_account.go
+++ b/core/target/retry_account.go
@@ -81,18 +81,27 @@
 	r.part = part
 }
 
-// record records one request that got a target.
-func (r *retryAccount) record(repeated bool, now time.Time) {
-	if repeated {
-		r.requests.count(repeatedRequest, now)
-		r.debts.add(1-r.credits.takeOldest(1, now), now)
-		return
-	}
-	r.requests.count(firstRequest, now)
+// recordRepeat records a repeat that got a target.
+func (r *retryAccount) recordRepeat(now time.Time) {
+	r.requests.add(repeatedRequest, 1, now)
+	r.debts.add(1-r.credits.takeOldest(1, now), now)
+}
+
+// recordFirst records a first request that got a target, and returns what it earned.
+func (r *retryAccount) recordFirst(now time.Time) (earned float64) {
+	r.requests.add(firstRequest, 1, now)
 	young := min(1, r.growth.sum(now)/r.part)
-	earned := r.budget.Share * (1 - young)
+	earned = r.budget.Share * (1 - young)
 	// The newest debts are repaid first, because the oldest will expire soon.
 	r.credits.add(earned-r.debts.takeNewest(earned, now), now)
+	return earned
+}
+
+// revokeFirst takes back what a first request earned that did not reach its target: the next
+// attempt is recorded as a first request again.
+func (r *retryAccount) revokeFirst(earned float64, now time.Time) {
+	r.requests.add(firstRequest, -1, now)
+	r.debts.add(earned-r.credits.takeOldest(earned, now), now)
 }
 
 // allows reports whether one more repeat is within the given share, 0 to 1, of the budget
--- a/core/target/window.go
+++ b/core/target/window.go
@@ -25,7 +25,12 @@
 
 // count records one event of kind 0 or 1.
 func (w *window) count(kind int, now time.Time) {
-	w.counts[w.advance(now)][kind]++
+	w.add(kind, 1, now)
+}
+
+// add adds n, which may be negative, to the number of events of kind 0 or 1.
+func (w *window) add(kind, n int, now time.Time) {
+	w.counts[w.advance(now)][kind] += n
 }
 
 // sums returns the number of events of each kind.
