--- a/core/target/overload_test.go
+++ b/core/target/overload_test.go
@@ -146,3 +146,21 @@
 		}
 	}
 }
+
+// Guards against new holders of all groups, as after the loss of all VMs, that make first
+// requests wait for the retry budget: those of the first second must be served as without
+// the change.
+func TestNewHoldersServeFirstRequestsAtOnce(t *testing.T) {
+	l := overloadLoad{kinds: []overloadKind{bookings(440), declarations(50)}, maxSends: 3, length: eventFrom + time.Second}
+	unchanged, unchangedControlled := playOverload(t, 4, l, eventFrom, l.length)
+	l.holderChange = eventFrom
+	present, controlled := playOverload(t, 4, l, eventFrom, l.length)
+	for _, k := range l.kinds {
+		if with, without := present[k.name].servedShare(), unchanged[k.name].servedShare(); with < without-objectiveTolerance {
+			t.Errorf("%s: %.3f served, want at least %.3f", k.name, with, without)
+		}
+		if with, without := controlled[k.name].servedShare(), unchangedControlled[k.name].servedShare(); with < without-objectiveTolerance {
+			t.Errorf("%s with overload control: %.3f served, want at least %.3f", k.name, with, without)
+		}
+	}
+}
