--- a/core/target/holder.go
+++ b/core/target/holder.go
@@ -165,7 +165,7 @@
 		anticipate:      c.Anticipate,
 		references:      map[string]*reference{},
 		partialSheds:    newFailureCounter(),
-		retries:         newRetryAccount(c.RetryBudget),
+		retries:         newRetryAccount(c.RetryBudget, now),
 		failures:        newFailureCounter(),
 		overloadControl: c.OverloadControl,
 	}
--- a/core/target/repeats_test.go
+++ b/core/target/repeats_test.go
@@ -12,8 +12,8 @@
 func TestRepeatsStayWithinTheirBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bound := FleetRetryBudget{Share: 0.2, Reserve: rapid.Float64Range(0, 50).Draw(t, "reserve")}
-		r := newRetryAccount(bound)
 		now := time.Unix(1000, 0)
+		r := newRetryAccount(bound, now)
 		r.setPart(1, now)
 		if rapid.Bool().Draw(t, "old") {
 			now = now.Add(2 * repeatWindow)
@@ -65,8 +65,8 @@
 // for it although first requests pay for repeats: the callers of the first 10 s after a
 // takeover, instead of the first 3 s, would get no retry.
 func TestNewHolderRepeatsWithinItsOwnRequests(t *testing.T) {
-	r := newRetryAccount(FleetRetryBudget{Share: 0.2, Reserve: 20})
 	start := time.Unix(1000, 0)
+	r := newRetryAccount(FleetRetryBudget{Share: 0.2, Reserve: 20}, start)
 	r.setPart(0.5, start)
 	if r.allows(1, start) {
 		t.Error("a new holder may repeat without a request")
--- a/core/target/retry_account.go
+++ b/core/target/retry_account.go
@@ -53,12 +53,12 @@
 	repeatedRequest
 )
 
-func newRetryAccount(budget FleetRetryBudget) retryAccount {
+func newRetryAccount(budget FleetRetryBudget, now time.Time) retryAccount {
 	return retryAccount{
 		budget:   budget,
-		debts:    newExpiringSum(int(debtBuckets)),
-		credits:  newExpiringSum(creditBuckets),
-		growth:   newExpiringSum(growthBuckets),
+		debts:    newExpiringSum(int(debtBuckets), now),
+		credits:  newExpiringSum(creditBuckets, now),
+		growth:   newExpiringSum(growthBuckets, now),
 		requests: window{length: repeatWindow},
 	}
 }
@@ -122,21 +122,24 @@
 
 // expiringSum is a sum of amounts that expire.
 type expiringSum struct {
+	// start is the begin of bucket 0. Times are compared with it on the monotonic clock, so
+	// that a step of the wall clock expires nothing.
+	start time.Time
 	// amounts holds the amounts by the accountBucket in which they were added, a ring.
 	amounts []float64
 	bucket  int64
 }
 
 // newExpiringSum returns a sum whose amounts expire after n-1 to n buckets.
-func newExpiringSum(n int) expiringSum {
-	return expiringSum{amounts: make([]float64, n)}
+func newExpiringSum(n int, now time.Time) expiringSum {
+	return expiringSum{start: now, amounts: make([]float64, n)}
 }
 
 // advance removes the amounts that have expired and returns the index of the current
 // bucket.
 func (e *expiringSum) advance(now time.Time) int {
 	n := int64(len(e.amounts))
-	bucket := now.UnixNano() / int64(accountBucket)
+	bucket := int64(now.Sub(e.start) / accountBucket)
 	for steps := int64(0); e.bucket < bucket && steps < n; steps++ {
 		e.bucket++
 		e.amounts[e.bucket%n] = 0
