target: shares of the retry budget as before the account

Cause: the account took a share of the budget as a share of what was spent and what is left of it.

Change: a share is one of 0.18 x first + limit in the last 10 s again, without the limit during the first 10 s of a holder, as overload control had it.

--- a/core/target/retry_account.go
+++ b/core/target/retry_account.go
@@ -35,7 +35,9 @@
 // whatever the part grows by, from 0 for a new holder, starts as a debt, and earns
 // nothing for as long as credits last. docs/design.md, section 10, has the bound.
 type retryAccount struct {
-	budget  FleetRetryBudget
+	budget FleetRetryBudget
+	// start is when the lease began.
+	start   time.Time
 	debts   expiringSum
 	credits expiringSum
 	growth  expiringSum
@@ -56,6 +58,7 @@
 func newRetryAccount(budget FleetRetryBudget, now time.Time) retryAccount {
 	return retryAccount{
 		budget:   budget,
+		start:    now,
 		debts:    newExpiringSum(int(debtBuckets), now),
 		credits:  newExpiringSum(creditBuckets, now),
 		growth:   newExpiringSum(growthBuckets, now),
@@ -105,19 +108,18 @@
 }
 
 // allows reports whether one more repeat is within the given share, 0 to 1, of the budget
-// of the last repeatWindow: of what was spent in it and what is left.
+// of the last repeatWindow, and within what this account has left.
 func (r *retryAccount) allows(budgetShare float64, now time.Time) bool {
 	limit := r.limit(r.part)
-	left := limit - r.debts.sum(now) + r.credits.sum(now)
-	first, repeated := r.requests.sums(now)
-	next := float64(repeated + 1)
-	switch {
-	case left < 1-rounding:
-		return false
-	case next > r.budget.Share*float64(first)+limit+rounding:
+	if limit-r.debts.sum(now)+r.credits.sum(now) < 1-rounding {
 		return false
 	}
-	return next <= budgetShare*(float64(repeated)+left)+rounding
+	first, repeated := r.requests.sums(now)
+	budget := r.budget.Share * float64(first)
+	if r.ignoresPredecessor || now.Sub(r.start) >= repeatWindow {
+		budget += limit
+	}
+	return float64(repeated+1) <= budgetShare*budget+rounding
 }
 
 // expiringSum is a sum of amounts that expire.
