pool: the test of takeovers waits for each of them

Cause: TestManyVMsShareSlotsAcrossTakeovers failed once with the race detector at a load of about 100: 3 takeovers completed, 4 wanted. It replaced each holder after 400 ms, so that on a machine that busy one was replaced before its takeover was complete.

Change: the test waits for each takeover, at most 10 s, before it replaces the holder; its checks are unchanged.

--- a/node/pool/failure_test.go
+++ b/node/pool/failure_test.go
@@ -188,10 +188,13 @@
 			})
 		}
 	}
-	for _, holder := range []int{2, 3, 0} {
+	// The next holder takes over only after the last one has, which takes longer on a busy machine.
+	for i, holder := range []int{2, 3, 0} {
+		c.awaitTakeovers(i + 1)
 		time.Sleep(400 * time.Millisecond)
 		c.setHolder(holder)
 	}
+	c.awaitTakeovers(4)
 	time.Sleep(time.Second)
 	stop.Store(true)
 	wg.Wait()
@@ -203,6 +206,24 @@
 	}
 }
 
+// awaitTakeovers waits until n takeovers have completed.
+func (c *testCell) awaitTakeovers(n int) {
+	c.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		c.mu.Lock()
+		ready := c.events[event.GroupReady]
+		c.mu.Unlock()
+		if ready >= n {
+			return
+		}
+		if time.Now().After(deadline) {
+			c.t.Fatalf("%d takeovers completed, want %d", ready, n)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // Guards against a report that arrives before the outcome of a lost connection:
 // the holder reclaimed the permit and never learned that the target is cold
 // (found with seed 5423). Also guards against an outcome that reaches a new
