core, node: names, comments and lengths that stop a new reader

Change: unreached is a named field of Roster; transferPatience is slowTransferInterval, unmarked is bodySinceProgress, startPatientHarness is startLongDeadlineHarness; answerPrefixBytes replaces two sums; OrderGroups and the explained ranking share indices; explainGroup and startFront of the flood tests are shorter; doc comments state units and conditions. No behaviour and no check changes.

--- a/cmd/flood/listeners_test.go
+++ b/cmd/flood/listeners_test.go
@@ -138,12 +138,9 @@
 	}
 }
 
-// startFront replaces the process of the first VM by one that runs on the users' platform,
-// whose store it does not reach. Its readiness checks and address queries are answered anyway.
-func (tb *testbed) startFront(t *testing.T) {
-	tb.kill(0)
-	tb.front = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&255, os.Getpid()&255)
-	text := fmt.Sprintf(`Node = "front-1"
+// frontSettings returns the settings of a VM of the users' platform with the given IP address.
+func frontSettings(ip string) string {
+	return fmt.Sprintf(`Node = "front-1"
 Ip = "%[1]s"
 Zone = "a"
 InternalPorts = [%[2]d, %[2]d]
@@ -158,10 +155,17 @@
 [Limits]
 MemoryMb = %[6]d
 MaxFds = %[7]d
-`, tb.front, internalPort, frontPort, readyPort, directoryPort, frontMemoryMB, frontDescriptors)
+`, ip, internalPort, frontPort, readyPort, directoryPort, frontMemoryMB, frontDescriptors)
+}
+
+// startFront replaces the process of the first VM by one that runs on the users' platform,
+// whose store it does not reach. Its readiness checks and address queries are answered anyway.
+func (tb *testbed) startFront(t *testing.T) {
+	tb.kill(0)
+	tb.front = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&255, os.Getpid()&255)
 	tb.memoryMB, tb.descriptors = frontMemoryMB, frontDescriptors
 	file := filepath.Join(t.TempDir(), "front.toml")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(frontSettings(tb.front)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd := exec.Command(tb.program, "front")
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -53,7 +53,8 @@
 	digest   uint64
 	// cellSize is the target size of a cell in VMs.
 	cellSize int
-	unreached
+	// unreached counts the VMs that may be serving but are not in entries.
+	unreached unreached
 }
 
 // New returns a roster that holds only the VM self. Instance identifies this VM's process.
@@ -61,7 +62,7 @@
 // member.DefaultCellSize.
 func New(self member.VM, instance uint64, cellSize int) *Roster {
 	r := &Roster{self: self, instance: instance, entries: map[string]*entry{}, cellSize: cellSize}
-	r.lost = map[string]bool{}
+	r.unreached.lost = map[string]bool{}
 	r.rebuild()
 	return r
 }
@@ -104,11 +105,11 @@
 	return rest
 }
 
-// Merge adds the records that another VM sent, its own first. It returns true when the set of
-// VMs, the state of one or the number of unreached ones changed.
+// Merge adds the records that another VM sent; the first one is that of the sender. It returns
+// true when the set of VMs, the state of one or the number of unreached ones changed.
 func (r *Roster) Merge(all []MemberRecord, now time.Time) bool {
 	fromOther := len(all) > 0 && all[0].VM.ID != r.self.ID && all[0].Age == 0
-	changed := fromOther && r.recordReached(now)
+	changed := fromOther && r.unreached.recordReached(now)
 	for _, record := range all {
 		changed = r.merge(record, now) || changed
 	}
@@ -173,7 +174,7 @@
 	if at.After(e.lastSeen) {
 		e.lastSeen = at
 	}
-	changed := r.recordReached(at)
+	changed := r.unreached.recordReached(at)
 	if e.instance != instance {
 		changed = changed || e.left
 		e.instance, e.left = instance, false
@@ -187,8 +188,9 @@
 }
 
 // Expire removes VMs from which no VM received a heartbeat for ExpireAfter, and VMs that
-// announced their departure at least leftRetention ago. The former still count until another
-// VM is heard of: this VM may be the one that is cut off.
+// announced their departure at least leftRetention ago. VMs
+// that did not announce it still count as unreached until another VM is heard of, because this
+// VM may be the one that is cut off.
 func (r *Roster) Expire(now time.Time) {
 	removed := false
 	for id, e := range r.entries {
@@ -197,7 +199,7 @@
 			continue
 		}
 		if !e.left {
-			r.recordLost(id, now)
+			r.unreached.recordLost(id, now)
 		}
 		delete(r.entries, id)
 		removed = true
--- a/core/roster/unreached.go
+++ b/core/roster/unreached.go
@@ -10,8 +10,9 @@
 	reached bool
 	// seeds is the number of seeds other than this VM.
 	seeds int
-	// lost holds the VMs that expired since another VM was last heard of, at lostAt the last.
-	lost   map[string]bool
+	// lost holds the IDs of the VMs that expired since another VM was last heard of.
+	lost map[string]bool
+	// lostAt is when the last of them expired.
 	lostAt time.Time
 }
 
@@ -42,9 +43,9 @@
 // SetSeedCount sets the number of seeds other than this VM. They count as members until the
 // VM reaches another VM for the first time, because they may be serving. Default: 0.
 func (r *Roster) SetSeedCount(n int) {
-	if n == r.seeds {
+	if n == r.unreached.seeds {
 		return
 	}
-	r.seeds = n
+	r.unreached.seeds = n
 	r.rebuild()
 }
--- a/core/target/anticipate.go
+++ b/core/target/anticipate.go
@@ -215,10 +215,7 @@
 
 // orderByRoom returns the order of OrderGroups for the given expected rooms.
 func orderByRoom(loads []EstimatedLoad, rooms []float64, random func() float64) []int {
-	order := make([]int, len(loads))
-	for i := range order {
-		order[i] = i
-	}
+	order := indices(len(loads))
 	if hasRemote(loads) {
 		sortByRoom(order, rooms)
 		return order
--- a/core/target/explain.go
+++ b/core/target/explain.go
@@ -119,9 +119,9 @@
 	return &c
 }
 
-// ForQuery returns a copy of the holder with which a query may
-// try out decisions without a change of the holder. The copy emits no events and must not be
-// used after the holder has changed.
+// ForQuery returns a copy of the holder with which a query may try out decisions without a
+// change of the holder. The copy emits no events and must not be used after the holder has
+// changed.
 func (h *Holder) ForQuery() *Holder {
 	c := h.copyForQuery()
 	c.emit = func(Event) {}
@@ -269,6 +269,7 @@
 	return r
 }
 
+// compareReported orders groups by the last responses of their holders, the least loaded first.
 func compareReported(a, b GroupLoad) int {
 	switch {
 	case a.LessLoaded(b):
@@ -279,6 +280,7 @@
 	return 0
 }
 
+// indices returns the numbers from 0 to n-1.
 func indices(n int) []int {
 	all := make([]int, n)
 	for i := range all {
--- a/core/target/retry_account.go
+++ b/core/target/retry_account.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// RepeatWait is how long first requests pay for no repeats at a new holder.
+// RepeatWait is the longest time after the start of a new holder for which its first requests
+// pay for no repeats.
 const RepeatWait = growthBuckets * accountBucket
 
 const (
@@ -36,11 +37,13 @@
 // nothing for as long as credits last. docs/design.md, section 10, has the bound.
 type retryAccount struct {
 	budget FleetRetryBudget
-	// start is when the lease began.
-	start   time.Time
+	// start is when the holder was created.
+	start time.Time
+	// debts and credits are in repeats.
 	debts   expiringSum
 	credits expiringSum
-	growth  expiringSum
+	// growth is by how much part grew lately. First requests earn nothing for that much of it.
+	growth expiringSum
 	// part is the part of the reserve that belongs to this holder, 0 to 1.
 	part float64
 	// requests counts the requests of the last repeatWindow by kind.
@@ -49,7 +52,7 @@
 	ignoresPredecessor bool
 }
 
-// Kinds of requests in the window.
+// Kinds of requests in retryAccount.requests.
 const (
 	firstRequest = iota
 	repeatedRequest
@@ -66,12 +69,13 @@
 	}
 }
 
-// limit returns the highest total debt for a part of the reserve.
+// limit returns the highest total debt, in repeats, for a part of the reserve, 0 to 1.
 func (r *retryAccount) limit(part float64) float64 {
 	return max(minDebtLimit, part*r.budget.Reserve)
 }
 
-// setPart sets the part of the reserve, 0 to 1, that belongs to this holder.
+// setPart sets the part of the reserve, 0 to 1, that belongs to this holder. What the limit
+// grows by is a debt at first.
 func (r *retryAccount) setPart(part float64, now time.Time) {
 	if part > r.part && !r.ignoresPredecessor {
 		former := 0.0
@@ -90,7 +94,8 @@
 	r.debts.add(1-r.credits.takeOldest(1, now), now)
 }
 
-// recordFirst records a first request that got a target, and returns what it earned.
+// recordFirst records a first request that got a target, and returns what it earned,
+// in repeats. The part must be set.
 func (r *retryAccount) recordFirst(now time.Time) (earned float64) {
 	r.requests.add(firstRequest, 1, now)
 	young := min(1, r.growth.sum(now)/r.part)
@@ -124,12 +129,13 @@
 
 // expiringSum is a sum of amounts that expire.
 type expiringSum struct {
-	// start is the begin of bucket 0. Times are compared with it on the monotonic clock, so
+	// start is the beginning of bucket 0. Times are compared with it on the monotonic clock, so
 	// that a step of the wall clock expires nothing.
 	start time.Time
 	// amounts holds the amounts by the accountBucket in which they were added, a ring.
 	amounts []float64
-	bucket  int64
+	// bucket is the number of the newest bucket, counted from start.
+	bucket int64
 }
 
 // newExpiringSum returns a sum whose amounts expire after n-1 to n buckets.
--- a/node/command/answer.go
+++ b/node/command/answer.go
@@ -20,6 +20,8 @@
 	// maxBufferedBytes is the size up to which an answer is read completely before its
 	// status is sent, so that a truncated answer can be replaced by an error.
 	maxBufferedBytes = 64 << 10
+	// answerPrefixBytes is the size of the buffer that shows whether an answer is longer.
+	answerPrefixBytes = maxBufferedBytes + 1
 	// writeGrace is how long after the deadline a caller may read the rest of its
 	// answer.
 	writeGrace = 10 * time.Second
@@ -154,7 +156,7 @@
 
 // prefixBuffers holds buffers for the first maxBufferedBytes of an answer and one more
 // byte, which shows whether the answer is longer.
-var prefixBuffers = sync.Pool{New: func() any { return new([maxBufferedBytes + 1]byte) }}
+var prefixBuffers = sync.Pool{New: func() any { return new([answerPrefixBytes]byte) }}
 
 // smallAnswerBytes is the Content-Length up to which an answer gets a buffer of its
 // own. Each garbage collection empties the pool, so using large pooled buffers for small
@@ -169,7 +171,7 @@
 	if resp.ContentLength >= 0 && resp.ContentLength <= smallAnswerBytes {
 		return make([]byte, resp.ContentLength+1), func() {}
 	}
-	pooled := prefixBuffers.Get().(*[maxBufferedBytes + 1]byte)
+	pooled := prefixBuffers.Get().(*[answerPrefixBytes]byte)
 	return pooled[:], func() { prefixBuffers.Put(pooled) }
 }
 
--- a/node/command/body.go
+++ b/node/command/body.go
@@ -36,15 +36,15 @@
 // again, and the rest still to be read from the caller's connection.
 type callerBody struct {
 	prefix   []byte
-	segments [][]byte                 // what follows the prefix in memory; all but the last are full
-	buffered bool                     // the complete body is in memory
-	length   int64                    // in bytes; -1 if unknown
-	limit    int64                    // maximum length in bytes
-	control  *http.ResponseController // nil if the request has no body
-	deadline time.Time                // of the request
-	readTill time.Time                // deadline that is set for reads
-	held     *limit.Request           // nil without a bound
-	join     func(end func()) *transfer
+	segments [][]byte                   // what follows the prefix in memory; all but the last are full
+	buffered bool                       // the complete body is in memory
+	length   int64                      // in bytes; -1 if unknown
+	limit    int64                      // maximum length in bytes
+	control  *http.ResponseController   // nil if the request has no body
+	deadline time.Time                  // of the request
+	readTill time.Time                  // deadline that is set for reads
+	held     *limit.Request             // nil without a bound
+	join     func(end func()) *transfer // adds the transfer of the streamed part; end ends its reads
 
 	announced http.Header // trailer of the request after readAhead; net/http changes it at the end of source
 
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -123,7 +123,7 @@
 // forwardWithinRate waits for a token of the workspace's rate limit and forwards
 // the request.
 func (ex *exchange) forwardWithinRate() error {
-	if err := ex.held.ReserveResponse(maxBufferedBytes + 1); err != nil {
+	if err := ex.held.ReserveResponse(answerPrefixBytes); err != nil {
 		return err
 	}
 	if ex.workspace != nil {
--- a/node/command/slowcaller_test.go
+++ b/node/command/slowcaller_test.go
@@ -24,9 +24,9 @@
 // longPrefix is the part of a body that is in memory before a target is chosen.
 var longPrefix = strings.Repeat("0123456789abcdef", prefixBytes/16)
 
-// startPatientHarness starts a harness whose routes have a deadline of 30 s, which a busy machine
+// startLongDeadlineHarness starts a harness whose routes have a deadline of 30 s, which a busy machine
 // does not exceed.
-func startPatientHarness(t *testing.T, addresses ...string) *harness {
+func startLongDeadlineHarness(t *testing.T, addresses ...string) *harness {
 	f := startHarnessAt(t, addresses...)
 	for i := range f.snapshot.Load().Routes {
 		f.snapshot.Load().Routes[i].TimeoutMs = 30_000
@@ -75,7 +75,7 @@
 			got <- fmt.Sprint(string(raw), r.Trailer, err)
 			return write(conn, withEcho(r, okAnswer))
 		})
-		f := startPatientHarness(t, lost.address, good.address)
+		f := startLongDeadlineHarness(t, lost.address, good.address)
 		if c.beforeTheRetry {
 			f.handler.cfg.Picker = onRetry{f, func() {
 				retried <- true
@@ -107,7 +107,7 @@
 	}{{"POST", "/post/x", ""}, {"PUT", "/get/x", "more"}} {
 		lost := startRaw(t, losesConnection(prefixBytes+len(c.more)))
 		good := startRaw(t, func(_ int64, r *http.Request, c net.Conn) bool { return write(c, withEcho(r, okAnswer)) })
-		f := startPatientHarness(t, lost.address, good.address)
+		f := startLongDeadlineHarness(t, lost.address, good.address)
 		body, rest := slowBody(t)
 		go func() { _, _ = io.WriteString(rest, c.more) }()
 		a := f.doOver(false, c.method, c.path, body, nil, "X-Early: 1")
@@ -248,7 +248,7 @@
 			answered <- true
 			return false
 		})
-		f := startPatientHarness(t, target.address)
+		f := startLongDeadlineHarness(t, target.address)
 		dialer := &net.Dialer{}
 		f.handler.transport.DialContext = guardedDial(func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
@@ -314,7 +314,7 @@
 			write(c, withEcho(r, answer))
 			return false
 		})
-		f := startPatientHarness(t, target.address)
+		f := startLongDeadlineHarness(t, target.address)
 		body, _ := slowBody(t)
 		began := time.Now()
 		a := f.doOver(false, "POST", "/post/x", body, nil, "X-Early: 1")
@@ -378,7 +378,7 @@
 				_, _ = conn.Read(make([]byte, 1))
 				return false
 			})
-			f := startPatientHarness(t, target.address)
+			f := startLongDeadlineHarness(t, target.address)
 			if c.blocked {
 				dialer := &net.Dialer{}
 				f.handler.transport.DialContext = guardedDial(func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/node/command/targetconn.go
+++ b/node/command/targetconn.go
@@ -106,7 +106,7 @@
 func (c *targetConn) wasReset() bool {
 	reset := false
 	err := c.raw.Control(func(fd uintptr) {
-		// The state is the first byte of the information.
+		// The state is the first byte of tcp_info, the lowest of the integer on little-endian machines.
 		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
 		reset = err != nil || info&0xff == tcpClosed
 	})
--- a/node/command/transfer.go
+++ b/node/command/transfer.go
@@ -7,14 +7,14 @@
 
 const (
 	// transferGrace is how long a transfer may wait for its caller without minTransferBytes
-	// before it counts as slow. A pause of the caller's process is usually shorter.
+	// before it counts as slow. Most pauses of a caller's process are shorter.
 	transferGrace = 2 * time.Second
 	// minTransferBytes is the progress that ends a wait for the caller. A caller below 8 KiB/s
 	// is slow; the slowest callers that the deployments describe have 10 Mbit/s.
 	minTransferBytes = 16 << 10
-	// transferPatience is how long a request waits for a target before a slow transfer of its
-	// service is ended, and the time until the next one is.
-	transferPatience = 500 * time.Millisecond
+	// slowTransferInterval is how long a request waits for a target before a slow transfer of its
+	// service is ended, and the least time until the next one is ended.
+	slowTransferInterval = 500 * time.Millisecond
 )
 
 // transfer is a body or a response that is streamed between a caller and a target and thereby
@@ -112,7 +112,7 @@
 	}
 }
 
-// endWhileWaiting ends slow transfers of a service, one each transferPatience, until the returned
+// endWhileWaiting ends slow transfers of a service, one each slowTransferInterval, until the returned
 // function is called.
 func (s *transfers) endWhileWaiting(service string) (stop func()) {
 	var mu sync.Mutex
@@ -120,12 +120,12 @@
 	var timer *time.Timer
 	mu.Lock()
 	defer mu.Unlock()
-	timer = time.AfterFunc(transferPatience, func() {
+	timer = time.AfterFunc(slowTransferInterval, func() {
 		mu.Lock()
 		defer mu.Unlock()
 		if !stopped {
 			s.endSlowest(service, time.Now())
-			timer.Reset(transferPatience)
+			timer.Reset(slowTransferInterval)
 		}
 	})
 	return func() {
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -231,7 +231,7 @@
 }
 
 // explainer returns the handler of queries that explain requests; nil with the policies of
-// package baseline, which it does not know.
+// package baseline, whose decisions the handler cannot explain.
 func (d *Daemon) explainer() http.Handler {
 	if d.baseline {
 		return nil
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -88,7 +88,8 @@
 type Service struct {
 	// Name is the name of the service that the next request of the route on this VM gets.
 	Name string `json:"name"`
-	// Placement says how targets are chosen: by outlier detection or by health estimates.
+	// Placement says how targets are chosen: outlier_detection, or health_estimate for services
+	// whose document has the placement belief.
 	Placement string `json:"placement"`
 	// Split lists the services of a route with several.
 	Split []Part `json:"split,omitempty"`
@@ -143,13 +144,14 @@
 type Placement struct {
 	// Rule says how requests choose among the groups.
 	Rule string `json:"rule"`
-	// Random is true when a part of the choice is random.
+	// Random is true when requests draw groups at random, so that they do not ask them in the
+	// order of Groups.
 	Random bool `json:"random"`
 	// IdlePermit is a permit that this VM has kept, and that the request would use.
 	IdlePermit *IdlePermit `json:"idlePermit,omitempty"`
 	// Groups lists the groups of the service, the preferred one first.
 	Groups []Group `json:"groups"`
-	// Omitted is the number of further groups whose targets are not explained.
+	// Omitted is the number of further groups, which Groups leaves out.
 	Omitted int `json:"omitted,omitempty"`
 	// Refusal is the refusal for want of a target.
 	Refusal *Refusal `json:"refusal,omitempty"`
--- a/node/limit/conn.go
+++ b/node/limit/conn.go
@@ -62,11 +62,11 @@
 
 // countBody counts n bytes of a body and reports whether it made progress. The caller holds mu.
 func (c *Conn) countBody(n int) bool {
-	c.unmarked += n
-	if c.unmarked < minBodyProgress {
+	c.bodySinceProgress += n
+	if c.bodySinceProgress < minBodyProgress {
 		return false
 	}
-	c.unmarked = 0
+	c.bodySinceProgress = 0
 	return true
 }
 
--- a/node/limit/listener.go
+++ b/node/limit/listener.go
@@ -70,8 +70,9 @@
 	active   bool // a request is being served
 	awaiting bool // the VM waits for more of the body of the only request
 	proven   bool // the connection has had a request of an ordinary caller or a peer
-	// unmarked is the number of bytes of the body since the last progress.
-	unmarked int
+	// bodySinceProgress is the number of bytes of the body that have arrived since the last
+	// progress; minBodyProgress of them are the next one.
+	bodySinceProgress int
 	// uncounted is the number of lines that net/http may have in its buffer and that belong to
 	// no counted header.
 	uncounted int64
--- a/node/limit/request.go
+++ b/node/limit/request.go
@@ -137,7 +137,7 @@
 	}
 	q.conn.mu.Lock()
 	q.conn.awaiting = waiting
-	q.conn.unmarked = 0
+	q.conn.bodySinceProgress = 0
 	phase := q.conn.phaseWithoutHeader()
 	q.conn.mu.Unlock()
 	q.conn.guard.progress(q.conn, phase)
--- a/node/pool/explain.go
+++ b/node/pool/explain.go
@@ -13,8 +13,8 @@
 	"github.com/galenasail/galenasail/node/peer/peerv1"
 )
 
-// MaxExplainedGroups bounds the groups of one explanation, and so the work of one query.
-const MaxExplainedGroups = 32
+// maxExplainedGroups bounds the groups of one explanation, and so the work of one query.
+const maxExplainedGroups = 32
 
 // The rules by which requests choose among the groups of a service.
 const (
@@ -44,7 +44,7 @@
 		}
 	}
 	for i, rank := range ranking.Ranks {
-		if i == MaxExplainedGroups {
+		if i == maxExplainedGroups {
 			out.Omitted = len(ranking.Ranks) - i
 			break
 		}
@@ -152,11 +152,7 @@
 	out.Reasons = p.reasons(out, load.Outdated && responded)
 	switch {
 	case !known || c.claimedInVain(now):
-		out.Degraded = p.explainDegraded(q, c)
-		out.Note = "no VM holds the group exclusively, and this VM may use none of its targets without a holder"
-		if len(out.Degraded) > 0 {
-			out.Note = "no VM holds the group exclusively: of two of the listed targets drawn at random, this VM uses the one that it used less recently"
-		}
+		out.Degraded, out.Note = p.explainDegraded(q, c)
 	case !out.HeldHere:
 		out.Note = fmt.Sprintf("the targets are chosen by %s, whose state this VM does not know", vm.ID)
 	default:
@@ -212,17 +208,20 @@
 	return ok
 }
 
-// explainDegraded returns the IDs of the targets that the request may use without a holder.
-func (p *Pool) explainDegraded(q *acquireRequest, c *groupClient) []string {
+// explainDegraded returns the IDs of the targets that the request may use without a holder, and
+// a note that says how one is chosen.
+func (p *Pool) explainDegraded(q *acquireRequest, c *groupClient) (ids []string, note string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.entry.mu.Lock()
 	defer p.entry.mu.Unlock()
-	var ids []string
 	for _, t := range p.usableDegraded(q.layout, c, q) {
 		ids = append(ids, t.ID)
 	}
-	return ids
+	if len(ids) == 0 {
+		return nil, "no VM holds the group exclusively, and this VM may use none of its targets without a holder"
+	}
+	return ids, "no VM holds the group exclusively: of two of the listed targets drawn at random, this VM uses the one that it used less recently"
 }
 
 // refusalOfGroups returns the refusal of a request that each group refuses, or that no VM can
@@ -301,6 +300,7 @@
 	}
 }
 
+// apply answers the query on the actor.
 func (m explainQuery) apply(h *holderActor) {
 	g, v := h.groups[m.group], m.layout.Groups[m.group]
 	hold, ok := h.exclusiveLease(h.pool.shardOf(&v.Group))
@@ -365,6 +365,8 @@
 	return explain.NewRefusal(explain.StepTarget, errQueueFull(service))
 }
 
+// explainTarget returns the result for one target. ByHealth is true where targets are chosen by
+// health estimates.
 func explainTarget(c target.TargetChoice, byHealth bool) explain.Target {
 	t := explain.Target{
 		ID: c.Target, FailureDomain: c.FailureDomain, Excluded: c.Excluded.String(),
--- a/node/pool/explain_test.go
+++ b/node/pool/explain_test.go
@@ -208,7 +208,7 @@
 	s.GroupSize = 1
 	c := newTestCell(t, 1, s)
 	p := c.awaitExplained(0, func(p explain.Placement) bool { return p.Rule != "" })
-	if len(p.Groups) != MaxExplainedGroups || p.Omitted != 40-MaxExplainedGroups || !p.Random {
+	if len(p.Groups) != maxExplainedGroups || p.Omitted != 40-maxExplainedGroups || !p.Random {
 		t.Errorf("%d groups explained, %d omitted, random %v", len(p.Groups), p.Omitted, p.Random)
 	}
 }
--- a/node/query/explain.go
+++ b/node/query/explain.go
@@ -168,7 +168,7 @@
 	return nil
 }
 
-// addRemarks adds notes on the request, and what the VM cannot know.
+// addRemarks adds notes on the request, and the list of what the VM cannot know.
 func (e *Explainer) addRemarks(r *explain.Result) {
 	vm := e.cfg.Identity.VM
 	r.Unknown = []string{"requests that arrive before the explained one, and their effect on it"}
@@ -198,7 +198,7 @@
 	}
 }
 
-// orNone returns the ID of a VM, or that there is none.
+// orNone returns the ID of a holder, or for an empty one a text that says that none is known.
 func orNone(id string) string {
 	if id == "" {
 		return "no holder is known"
