platform: what the flood tests know of the platform moves to platform/platformtest

Cause: cmd/flood held paths and a settings file in the platform's words, which belong to platform/ alone; comments said that targets are chosen by load, which reads like a note on tuning.

Change: package platformtest with the VM's settings and paths; the comments say ranked.

--- a/cmd/flood/listeners_test.go
+++ b/cmd/flood/listeners_test.go
@@ -16,6 +16,7 @@
 	"github.com/galenasail/galenasail/node/peer"
 	"github.com/galenasail/galenasail/node/peer/peerv1"
 	"github.com/galenasail/galenasail/node/peer/peerv1/peerv1connect"
+	"github.com/galenasail/galenasail/platform/platformtest"
 )
 
 func toPeers(tb *testbed) string { return tb.peer }
@@ -110,12 +111,6 @@
 	frontMemoryMB    = 184
 )
 
-// Paths of readiness checks and address queries.
-const (
-	readyPath   = "/-/ready"
-	resolvePath = "/-/resolve?Zone=a"
-)
-
 func toReady(tb *testbed) string { return fmt.Sprintf("%s:%d", tb.front, readyPort) }
 
 func toDirectory(tb *testbed) string { return fmt.Sprintf("%s:%d", tb.front, directoryPort) }
@@ -125,10 +120,10 @@
 func frontCrowds() []slowCrowd {
 	events := repeated(followed(request("GET", "/galenasail/v1/events"), ""), 100)
 	addresses := []func(*testbed) string{toReady, toDirectory}
-	open := append(openRequests(readyPath), openRequests(resolvePath)...)
+	open := append(openRequests(platformtest.ReadyPath), openRequests(platformtest.AddressPath)...)
 	unread := []func(*testbed) string{
-		repeated(followed(request("GET", readyPath), ""), 1000),
-		repeated(followed(request("GET", resolvePath), ""), 1000),
+		repeated(followed(request("GET", platformtest.ReadyPath), ""), 1000),
+		repeated(followed(request("GET", platformtest.AddressPath), ""), 1000),
 	}
 	return []slowCrowd{
 		{"readiness and address queries: idle", 200, addresses, fixed(""), false, (*testbed).checkFront},
@@ -138,26 +133,6 @@
 	}
 }
 
-// frontSettings returns the settings of a VM of the users' platform with the given IP address.
-func frontSettings(ip string) string {
-	return fmt.Sprintf(`Node = "front-1"
-Ip = "%[1]s"
-Zone = "a"
-InternalPorts = [%[2]d, %[2]d]
-[Zones]
-a = "a"
-[Listen]
-Front = "%[1]s:%[3]d"
-Ready = "%[1]s:%[4]d"
-Directory = "%[1]s:%[5]d"
-[Provider]
-Address = "127.0.0.1:1"
-[Limits]
-MemoryMb = %[6]d
-MaxFds = %[7]d
-`, ip, internalPort, frontPort, readyPort, directoryPort, frontMemoryMB, frontDescriptors)
-}
-
 // startFront replaces the process of the first VM by one that runs on the users' platform,
 // whose store it does not reach. Its readiness checks and address queries are answered anyway.
 func (tb *testbed) startFront(t *testing.T) {
@@ -165,11 +140,15 @@
 	tb.front = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&255, os.Getpid()&255)
 	tb.memoryMB, tb.descriptors = frontMemoryMB, frontDescriptors
 	file := filepath.Join(t.TempDir(), "front.toml")
-	if err := os.WriteFile(file, []byte(frontSettings(tb.front)), 0o600); err != nil {
+	vm := platformtest.VM{
+		IP: tb.front, InternalPort: internalPort, FrontPort: frontPort, ReadyPort: readyPort, DirectoryPort: directoryPort,
+		MemoryMB: frontMemoryMB, Descriptors: frontDescriptors,
+	}
+	if err := os.WriteFile(file, []byte(vm.Settings()), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd := exec.Command(tb.program, "front")
-	cmd.Env = append(os.Environ(), "GALENASAIL_SETTINGS="+file)
+	cmd.Env = append(os.Environ(), platformtest.SettingsVariable+"="+file)
 	cmd.Stdout, cmd.Stderr = tb.log, tb.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -177,7 +156,7 @@
 	}
 	tb.vms[0] = cmd
 	deadline := time.Now().Add(15 * time.Second)
-	for answered("http://"+toDirectory(tb)+resolvePath) != nil {
+	for answered("http://"+toDirectory(tb)+platformtest.AddressPath) != nil {
 		if time.Now().After(deadline) {
 			t.Fatal("the VM answers no address query 15 s after its start")
 		}
@@ -189,8 +168,8 @@
 func (tb *testbed) checkFront(t *testing.T) {
 	t.Helper()
 	time.Sleep(settleTime)
-	ready := answered("http://" + toReady(tb) + readyPath)
-	resolve := answered("http://" + toDirectory(tb) + resolvePath)
+	ready := answered("http://" + toReady(tb) + platformtest.ReadyPath)
+	resolve := answered("http://" + toDirectory(tb) + platformtest.AddressPath)
 	tb.checkUsage(t)
 	if ready != nil || resolve != nil {
 		t.Errorf("readiness check: %v, address query: %v", ready, resolve)
--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -111,7 +111,7 @@
 	return best
 }
 
-// excludedFromSpread returns why s may not get the request where targets are chosen by
+// excludedFromSpread returns why s may not get the request where targets are ranked by
 // load.
 func (h *Holder) excludedFromSpread(s *state, a AcquireRequest, now time.Time) Exclusion {
 	switch e := h.unusable(s, now); {
--- a/core/target/explain.go
+++ b/core/target/explain.go
@@ -74,7 +74,7 @@
 	// Cold is true when the target is in cold start.
 	Cold bool
 	// Gray is the probability that the target, or the path to it from the entry VM, is gray.
-	// It is 0 where targets are chosen by load.
+	// It is 0 where targets are ranked by load.
 	Gray float64
 	// Outlier is true when the target ranks behind all others as an outlier.
 	Outlier bool
@@ -154,7 +154,7 @@
 	return 0
 }
 
-// explainSpread returns the targets of a group where they are chosen by load.
+// explainSpread returns the targets of a group where they are ranked by load.
 func (h *Holder) explainSpread(a AcquireRequest, now time.Time) []explained {
 	all := make([]explained, 0, len(h.targets))
 	for _, s := range h.targets {
--- a/node/explain/explain.go
+++ b/node/explain/explain.go
@@ -235,7 +235,7 @@
 	Limit int `json:"limit"`
 	Slots int `json:"slots"`
 	// Gray is the probability that the target or the path to it is gray; absent where targets
-	// are chosen by load.
+	// are ranked by load.
 	Gray *float64 `json:"gray,omitempty"`
 	// Cold, Outlier and Required are true for a target in cold start, one that ranks last as
 	// an outlier, and one that gets the request because of the floor of its service.
--- a/node/pool/explain.go
+++ b/node/pool/explain.go
@@ -365,7 +365,7 @@
 	return explain.NewRefusal(explain.StepTarget, errQueueFull(service))
 }
 
-// explainTarget returns the result for one target. ByHealth is true where targets are chosen by
+// explainTarget returns the result for one target. ByHealth is true where targets are ranked by
 // health estimates.
 func explainTarget(c target.TargetChoice, byHealth bool) explain.Target {
 	t := explain.Target{
