command: responses on HTTP/1 are written in whole buffers again

Cause: all responses were written in pieces of 16 KiB, so that a caller on HTTP/2 that reads slowly is not cut off.

--- a/node/command/answer.go
+++ b/node/command/answer.go
@@ -324,16 +324,21 @@
 	return nil, fromTarget
 }
 
-// pieceBytes is the part of a response after which its caller counts as progressing. With one
-// deadline for 64 KiB, a caller on HTTP/2 that reads 5 KiB/s would be cut off.
+// pieceBytes is the part of a response on HTTP/2 after which its caller counts as progressing.
+// With one deadline for a whole buffer, a caller that reads 5 KiB/s would be cut off. The
+// connection bounds writes of HTTP/1, where pieces would only cost further system calls.
 const pieceBytes = minTransferBytes
 
 var errResponseSlow = errors.New("the caller reads too slowly while other requests wait")
 
 // writePieces writes p to the caller and counts the time that the caller takes.
 func (ex *exchange) writePieces(control *http.ResponseController, t *transfer, p []byte) error {
+	size := len(p)
+	if ex.r.ProtoMajor >= 2 {
+		size = pieceBytes
+	}
 	for len(p) > 0 {
-		piece := p[:min(pieceBytes, len(p))]
+		piece := p[:min(size, len(p))]
 		p = p[len(piece):]
 		ex.boundStreamWrite(control)
 		if t.isEnded() {
