--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// Guards against a large workspace whose own rise counts as one of all workspaces and hides
+// its excess, and against a workspace on its own that counts as in excess.
+func TestExcessOfALargeWorkspace(t *testing.T) {
+	for _, others := range []int{0, 1} {
+		var d Demand
+		now := time.Unix(1000, 0)
+		excess := map[string]int{}
+		for step := range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			for i := range 1 + others {
+				if (step%10 == i || step >= 1500 && i == 0) && d.Record(fmt.Sprint(i), now) {
+					excess[fmt.Sprint(i)]++
+				}
+			}
+		}
+		if got := excess["0"] > 300; got != (others > 0) || excess["1"] > 0 {
+			t.Errorf("%d other workspaces: requests in excess %v, want more than 300 of workspace 0 only beside others", others, excess)
+		}
+	}
+}
+
 // Guards against first requests that count as returning, against returning ones that do
 // not, and against a few callers with longer deadlines that make all others count as
 // returning.
@@ -130,3 +151,28 @@
 		previous = d
 	}
 }
+
+// Guards against a copy for a query that decides otherwise than the request that follows, or
+// that changes what it was copied from.
+func TestCopiesForQueriesDecideAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var asked, other Order
+		var deadlines Deadlines
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			a := Arrival{
+				Workspace: rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "workspace"),
+				DueAfter:  time.Second, Deadline: time.Duration(rapid.IntRange(1, 9).Draw(t, "s")) * time.Second,
+			}
+			copied, known := asked.ForQuery(a.Workspace), deadlines.ForQuery("r")
+			place, elapsed := copied.Arrive(a, now), known.Elapsed("r", a.Deadline, now)
+			if got := asked.Arrive(a, now); got != place || got != other.Arrive(a, now) {
+				t.Fatalf("place %+v, announced %+v", got, place)
+			}
+			if got := deadlines.Elapsed("r", a.Deadline, now); got != elapsed {
+				t.Fatalf("elapsed %v, announced %v", got, elapsed)
+			}
+		}
+	})
+}
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -147,6 +147,7 @@
 	idempotency      idempotencyTable
 	quarantine       *quarantine
 	outcomes         serviceOutcomes
+	transfers        transfers
 	notices          *targetNotices
 	reporter         *requestReporter
 	returns          callerReturns
@@ -198,6 +199,7 @@
 	ix := &routeIndex{snapshot: snapshot, routes: route.NewIndex(snapshot.Routes), splitter: h.currentSplitter()}
 	h.index.Store(ix)
 	h.returns.retain(snapshot)
+	h.outcomes.retain(snapshot)
 	return ix
 }
 
