--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -28,6 +28,9 @@
 		if err != nil && last != nil && ex.shedWithControl(last) && fault.KindOf(err) == fault.Overloaded {
 			return ex.shedRefusal(last)
 		}
+		if err != nil && last != nil && ex.refusedWhileSending(last) && fault.KindOf(err) == fault.NoCapacity {
+			return ex.refusal(last)
+		}
 		if err != nil {
 			return err
 		}
@@ -42,6 +45,12 @@
 	}
 }
 
+// refusedWhileSending reports whether a target refused the request in f while the caller was
+// sending its body. If no other target takes the request, its caller gets that refusal.
+func (ex *exchange) refusedWhileSending(f *failure) bool {
+	return f.arrived && f.ran == fault.RanNo && !ex.body.buffered
+}
+
 // acquireAndAttempt acquires a permit and runs one attempt, plus a hedged attempt if
 // the first one does not answer in time. The failure is nil if the answer was
 // delivered. An error means that no attempt was made.
@@ -55,7 +64,9 @@
 		defer func() { ex.h.quarantine.probeEnded(ex.fingerprint, f) }()
 	}
 	began := time.Now()
+	stop := ex.h.transfers.endWhileWaiting(ex.service.Name)
 	p, err := ex.h.cfg.Picker.Acquire(ex.ctx, ex.permitRequest())
+	stop()
 	ex.permitWait += time.Since(began)
 	if err != nil {
 		err = ex.h.notices.withReturnTime(ex.service.Name, err, time.Now())
@@ -108,13 +119,18 @@
 // dueAfter returns the time after arrival by which a queued request should get a
 // target: the latency objective of its route, multiplied for lower priorities.
 func (ex *exchange) dueAfter() time.Duration {
+	return dueAfter(ex.route, ex.workspace)
+}
+
+// dueAfter returns the due time of requests of workspace w, nil for none, to route rt.
+func dueAfter(rt *document.Route, w *document.Workspace) time.Duration {
 	objective := defaultObjective
-	if ex.route.ObjectiveMs > 0 {
-		objective = time.Duration(ex.route.ObjectiveMs) * time.Millisecond
+	if rt.ObjectiveMs > 0 {
+		objective = time.Duration(rt.ObjectiveMs) * time.Millisecond
 	}
-	factor := 1 + routePriorityStep*float64(ex.route.Priority)
-	if ex.workspace != nil {
-		factor += workspacePriorityStep * float64(ex.workspace.Priority)
+	factor := 1 + routePriorityStep*float64(rt.Priority)
+	if w != nil {
+		factor += workspacePriorityStep * float64(w.Priority)
 	}
 	return time.Duration(factor * float64(objective))
 }
--- a/node/command/transport.go
+++ b/node/command/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -76,8 +77,10 @@
 	lastUsed atomic.Int64
 
 	mu      sync.Mutex
-	framing *framing // parser of the latest answer; nil before the first request
-	ids     []uint64 // hashes of the IDs of all requests on the connection
+	closed  bool
+	onClose chan struct{} // closed by Close; nil unless awaitClose waits
+	framing *framing      // parser of the latest answer; nil before the first request
+	ids     []uint64      // hashes of the IDs of all requests on the connection
 	raw     syscall.RawConn
 }
 
@@ -111,12 +114,21 @@
 	}
 	c.touch()
 	n, err := c.Conn.Write(p)
-	if n == 0 && err != nil {
-		g.undoFirstWrite()
+	undone := n == 0 && err != nil && g.undoFirstWrite()
+	if !undone && isPeerClosed(err) {
+		// net/http closes a connection whose write fails. The target may have answered before it
+		// closed, so net/http first reads up to the end of the answer or of the connection.
+		c.awaitClose()
 	}
 	return n, err
 }
 
+// isPeerClosed reports whether err is that of a write to a connection that the other side has
+// closed. Reads of the connection then end too.
+func isPeerClosed(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Read reads the answer to the current request. It fails for bytes received before the
 // request was written or after its attempt has ended.
 func (c *targetConn) Read(p []byte) (int, error) {
@@ -130,3 +142,36 @@
 	}
 	return n, err
 }
+
+// Close closes the connection and ends the reads of the caller's body for it.
+func (c *targetConn) Close() error {
+	err := c.Conn.Close()
+	c.recordClose()
+	if g := c.guard.Load(); g != nil {
+		g.connEnded(c)
+	}
+	return err
+}
+
+func (c *targetConn) recordClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.onClose != nil {
+		close(c.onClose)
+		c.onClose = nil
+	}
+}
+
+// awaitClose waits until Close has been called. Only the writer of the connection calls it.
+func (c *targetConn) awaitClose() {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	wait := make(chan struct{})
+	c.onClose = wait
+	c.mu.Unlock()
+	<-wait
+}
--- a/node/pool/degraded.go
+++ b/node/pool/degraded.go
@@ -16,8 +16,13 @@
 // acquireDegraded returns a permit without asking a holder, for a group without
 // an exclusive one. It uses the power of two choices among the last known warm
 // targets of the group, with at most one request of this VM per target. It
-// returns nil when no target qualifies.
+// returns nil when no target qualifies, and for a repeat that a holder would
+// have to count: it waits until the group has one.
 func (p *Pool) acquireDegraded(c *groupClient, q *acquireRequest) *permitUse {
+	counted := p.config.FleetRetryBudget != (target.FleetRetryBudget{}) && q.Service.Placement == document.ByHealthEstimate
+	if counted && (q.Retry || q.Hedge) {
+		return nil
+	}
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -45,14 +50,7 @@
 // holds from the last holder counts as its one request to the target. The
 // caller holds c.mu and p.entry.mu.
 func (p *Pool) pickDegraded(c *groupClient, q *acquireRequest) (document.Target, bool) {
-	var candidates []document.Target
-	l := p.currentLayout()
-	for _, id := range p.degradedCandidates(l, c) {
-		t, ok := l.usableTarget(c.service, c.name, id)
-		if ok && !q.avoids(id) && p.entry.degradedInUse[degradedKey(c, id)] == 0 && !c.inUse(id) {
-			candidates = append(candidates, t)
-		}
-	}
+	candidates := p.usableDegraded(p.currentLayout(), c, q)
 	if len(candidates) == 0 {
 		return document.Target{}, false
 	}
@@ -68,6 +66,19 @@
 	return a, true
 }
 
+// usableDegraded returns the targets that the request may use without a holder. The caller
+// holds c.mu and p.entry.mu.
+func (p *Pool) usableDegraded(l *layout, c *groupClient, q *acquireRequest) []document.Target {
+	var usable []document.Target
+	for _, id := range p.degradedCandidates(l, c) {
+		t, ok := l.usableTarget(c.service, c.name, id)
+		if ok && !q.avoids(id) && p.entry.degradedInUse[degradedKey(c, id)] == 0 && !c.inUse(id) {
+			usable = append(usable, t)
+		}
+	}
+	return usable
+}
+
 // degradedCandidates returns the IDs of the targets that may be used without a
 // holder: where targets are placed by health estimate, all targets without a
 // configured cold start time; otherwise the last known warm targets.
--- a/node/pool/overload.go
+++ b/node/pool/overload.go
@@ -43,9 +43,8 @@
 }
 
 // admitWithControl decides whether a request may wait with overload control.
-func (h *holderActor) admitWithControl(g *heldGroup, e exchangeCall, now time.Time) admission {
+func (h *holderActor) admitWithControl(g *heldGroup, l *layout, e exchangeCall, now time.Time) admission {
 	a, c := e.request.Acquire, g.control
-	l := h.pool.currentLayout()
 	c.retainRoutes(l)
 	answer := g.holder.MeanAnswerTime(a.Route)
 	left := fromMillis(a.HoldMs)
@@ -59,7 +58,7 @@
 	w.Wait = min(w.Wait, place.Wait)
 	d.deadline, d.expected, d.admitted = g.admission.Admit(w, g.queue.Ahead(d.due), g.queue.Len(), answer, now)
 	if isImmediate(a) {
-		d.deadline, d.admitted = now, true
+		d.deadline, d.admitted = now, left > answer
 	}
 	if a.Repeat {
 		share := repeatShare(a, overload.Request{
