--- a/core/target/explain.go
+++ b/core/target/explain.go
@@ -170,7 +170,7 @@
 	return all
 }
 
-// explainByHealth returns the targets of a group where they are chosen by health estimates.
+// explainByHealth returns the targets of a group where they are ranked by health estimates.
 func (h *Holder) explainByHealth(a AcquireRequest, now time.Time) []explained {
 	candidates := h.candidates(a, now)
 	hasHealthy := slices.ContainsFunc(candidates, candidate.isHealthy)
