pool: groups without targets for a request are not asked

The trace shows a service of 6 targets in 6 groups, two of them without a target: a request that drew these two for its calls without a wait queued at one of them and was refused after 1.7 s, while the other groups had free slots. With AnticipateLoad such a group ranks last; without it the order of groups is random.

Change: the order without AnticipateLoad lists groups with an open target that the request need not avoid.

--- a/node/pool/entry.go
+++ b/node/pool/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,16 +123,19 @@
 	if q.layout == nil {
 		return fault.New(fault.NoCapacity, "no configuration has been applied on this VM yet")
 	}
-	for _, v := range q.layout.services[q.Service.Name] {
-		for _, t := range v.Group.Targets {
-			if target.IsOpen(t, v.OutDomains) && !q.avoids(t.ID) {
-				return nil
-			}
-		}
+	if slices.ContainsFunc(q.layout.services[q.Service.Name], q.hasTarget) {
+		return nil
 	}
 	return fault.New(fault.NoCapacity, "no target of service %s may receive the request: each is closed or has already failed it", q.Service.Name)
 }
 
+// hasTarget reports whether a target of the group may receive the request.
+func (q *acquireRequest) hasTarget(v *target.View) bool {
+	return slices.ContainsFunc(v.Group.Targets, func(t document.Target) bool {
+		return target.IsOpen(t, v.OutDomains) && !q.avoids(t.ID)
+	})
+}
+
 // avoids reports whether the request must not be sent to the target.
 func (q *acquireRequest) avoids(id string) bool {
 	for _, a := range q.Avoid {
@@ -155,7 +159,7 @@
 	if p.config.AnticipateLoad {
 		return p.tryAnticipated(ctx, q, clients)
 	}
-	order := p.order(clients)
+	order := p.order(q.clientsWithTargets(clients))
 	for i, c := range order {
 		if i == maxImmediateTries || c.looksFull() || (len(order) == 1 && !q.Hedge) {
 			break
@@ -167,6 +171,19 @@
 	return p.waitInQueue(ctx, order, q)
 }
 
+// clientsWithTargets returns those of the clients, which are those of clientsOf, whose groups have
+// a target for the request. A small service may have groups without targets; a request that
+// queued there would be refused while other groups have free slots.
+func (q *acquireRequest) clientsWithTargets(clients []*groupClient) []*groupClient {
+	found := clients[:0]
+	for i, v := range q.layout.services[q.Service.Name] {
+		if q.hasTarget(v) {
+			found = append(found, clients[i])
+		}
+	}
+	return found
+}
+
 // waitInQueue waits at the first group that queues the request. Groups that refuse it
 // immediately are skipped, at most maxRefusals of them. The holder says whether the request
 // waited in its queue: the time that the call took includes delays of both VMs and of the
--- a/node/pool/failure_test.go
+++ b/node/pool/failure_test.go
@@ -160,6 +160,22 @@
 	}
 }
 
+// Guards against a request that queues at a group without targets and is refused while other
+// groups have free slots.
+func TestGroupsWithoutTargetsAreNotAsked(t *testing.T) {
+	s := service(6)
+	// With a size of 1, two of the six groups have no target.
+	s.Placement, s.GroupSize = document.ByHealthEstimate, 1
+	c := newTestCell(t, 2, s)
+	for i := range 40 {
+		pt, err := c.acquire(1, 5*time.Second)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		pt.Release(node.OutcomeOK, time.Millisecond)
+	}
+}
+
 // Guards against a holder that continues to grant permits after it lost its
 // lease, and against slots that several VMs use at the same time.
 func TestManyVMsShareSlotsAcrossTakeovers(t *testing.T) {
