--- a/review/lab-2/server.go
+++ b/review/lab-2/server.go
@@ -183,6 +183,9 @@
 	return resp.StatusCode, string(raw), err
 }
 
+// maxAnswer bounds what a client reads of an answer, in bytes.
+const maxAnswer = 4 << 20
+
 // client is a client with kept connections.
 type client struct {
 	rec  *record
@@ -223,7 +226,7 @@
 	if err == nil {
 		res.status, res.signature = resp.StatusCode, resp.Header.Get("Server-Signature")
 		var raw []byte
-		raw, err = io.ReadAll(resp.Body)
+		raw, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 		_ = resp.Body.Close()
 		res.body = string(raw)
 	}
