--- a/review/lab-2/fleet.go
+++ b/review/lab-2/fleet.go
@@ -50,7 +50,6 @@
 	zones    []string
 	store    *store
 	machines []*machine
-	seeds    []int // numbers of the machines that the settings name as seeds
 	memoryMB int
 	maxFDs   int
 }
@@ -72,11 +71,11 @@
 	if f.store, err = newStore(f.net + ".200:8408"); err != nil {
 		return nil, err
 	}
+	running.Lock()
+	running.fleets = append(running.fleets, f)
+	running.Unlock()
 	for i := range n {
 		f.machines = append(f.machines, &machine{fleet: f, name: fmt.Sprintf("front-%d", i+1), ip: fmt.Sprintf("%s.%d", f.net, i+1), zone: zones[i%len(zones)]})
-		if i < 3 {
-			f.seeds = append(f.seeds, i)
-		}
 	}
 	return f, nil
 }
@@ -110,8 +109,8 @@
 	fmt.Fprintf(&b, "Node = %q\nRole = \"front\"\nMachineClass = \"front\"\nServes = [\"front\",\"control\",\"directory\"]\nIp = %q\nZone = %q\nRegion = \"region\"\n", m.name, m.ip, m.zone)
 	fmt.Fprintf(&b, "InternalPorts = [%d,%d]\n", portInner, portInner+15)
 	seeds := []string{}
-	for _, i := range f.seeds {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", f.machines[i].ip, portControl)))
+	for _, seed := range f.machines[:min(3, len(f.machines))] {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", seed.ip, portControl)))
 	}
 	fmt.Fprintf(&b, "Seeds = [%s]\n", strings.Join(seeds, ","))
 	b.WriteString(`Bootstrap = true
@@ -133,16 +132,10 @@
 	return b.String()
 }
 
-// writeSettings writes the settings file of m and returns its path.
-func (m *machine) writeSettings() (string, error) {
-	path := filepath.Join(m.fleet.dir, m.name+".toml")
-	return path, os.WriteFile(path, []byte(m.settings()), 0o600)
-}
-
 // start starts the process of m with the command of the deploy file.
 func (m *machine) start() error {
-	path, err := m.writeSettings()
-	if err != nil {
+	path := filepath.Join(m.fleet.dir, m.name+".toml")
+	if err := os.WriteFile(path, []byte(m.settings()), 0o600); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(m.fleet.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -213,10 +206,19 @@
 	return fmt.Errorf("not all machines became ready within %v", limit)
 }
 
-// kill ends the process of m at once.
-func (m *machine) kill() {
-	m.signal(syscall.SIGKILL)
-	<-m.done
+// running holds the fleets whose processes have to end with this one.
+var running struct {
+	sync.Mutex
+	fleets []*fleet
+}
+
+// stopAll ends the processes of all fleets.
+func stopAll() {
+	running.Lock()
+	defer running.Unlock()
+	for _, f := range running.fleets {
+		f.stop()
+	}
 }
 
 // stop ends all processes.
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +27,13 @@
 		os.Exit(2)
 	}
 	rec := &record{file: file, start: time.Now()}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-interrupted
+		stopAll()
+		os.Exit(2)
+	}()
 	broken, err := play(rec, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -31,10 +31,6 @@
 	items   map[string]item
 	events  []item
 	changed chan struct{}
-	era     int // 0: no header
-	first   uint64
-	// refuse answers calls of a caller with 503 if it returns true.
-	refuse func(ip string) bool
 }
 
 func newStore(address string) (*store, error) {
@@ -62,29 +58,7 @@
 	return s.rev
 }
 
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rev++
-	delete(s.items, key)
-	s.events = append(s.events, item{Key: key, ModRev: s.rev, Deleted: true})
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
-	s.mu.Lock()
-	refuse := s.refuse != nil && s.refuse(ip)
-	era := s.era
-	s.mu.Unlock()
-	if era > 0 {
-		w.Header().Set("Store-Era", strconv.Itoa(era))
-	}
-	if refuse {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	time.Sleep(4 * time.Millisecond)
 	switch r.URL.Path {
 	case "/-/kv-key":
@@ -137,7 +111,7 @@
 	defer end.Stop()
 	for ended := false; ; {
 		s.mu.Lock()
-		if after < s.first || after > s.rev {
+		if after > s.rev {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
