--- a/review/lab-2/server.go
+++ b/review/lab-2/server.go
@@ -20,6 +20,7 @@
 	address     string
 	zone        string
 	slots       int
+	born        int64 // Unix milliseconds of its start
 	free        chan struct{}
 	queue       int
 	// work is how long a request runs.
@@ -35,7 +36,7 @@
 }
 
 func newServer(f *fleet, id, service, address, zone string, slots int) (*server, error) {
-	s := &server{rec: f.rec, store: f.store, id: id, service: service, address: address, zone: zone, slots: slots, queue: 8,
+	s := &server{rec: f.rec, store: f.store, id: id, service: service, address: address, zone: zone, slots: slots, queue: 8, born: time.Now().UnixMilli(),
 		free: make(chan struct{}, slots), runs: map[string]int{}, bodies: map[string]string{},
 		work: func(*http.Request) time.Duration { return 20 * time.Millisecond }}
 	l, err := net.Listen("tcp", address)
@@ -51,7 +52,7 @@
 // entry returns the registration of s.
 func (s *server) entry(state string, coldMs int) string {
 	raw, _ := json.Marshal(map[string]any{"Service": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Concurrency": s.slots,
-		"State": state, "ColdRemainingMs": coldMs, "Sequence": 1, "born": time.Now().UnixMilli()})
+		"State": state, "ColdRemainingMs": coldMs, "Sequence": 1, "born": s.born})
 	return string(raw)
 }
 
