--- a/review/lab-2/encoded.go
+++ b/review/lab-2/encoded.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -11,9 +10,9 @@
 func init() { scenarios["encoded-slash"] = encodedSlash }
 
 const (
-	// lostFor is how long servers lose answers; lostShare is the share of the requests.
-	lostFor   = 4 * time.Second
-	lostShare = 0.05
+	// lostFor is how long servers lose answers, lostOf of how many requests each loses one.
+	lostFor = 4 * time.Second
+	lostOf  = 20
 	// bookings is how many requests of each kind are sent meanwhile.
 	bookings = 900
 )
@@ -41,9 +40,14 @@
 			return false, err
 		}
 		if i%2 == 0 { // half of the servers
+			seen := 0
 			s.behave = func(s *server, w http.ResponseWriter, r *http.Request, body []byte) bool {
 				mu.Lock()
-				lose := losing && rand.Float64() < lostShare
+				lose := false
+				if losing {
+					seen++
+					lose = seen%lostOf == 0
+				}
 				mu.Unlock()
 				if !lose || !s.begin(r) {
 					return false
@@ -64,7 +68,13 @@
 	mu.Lock()
 	losing = trouble
 	mu.Unlock()
-	rec.logf("half of the servers lose the answers of %.2f of the requests that they run: %t", lostShare, trouble)
+	rec.logf("for %v half of the servers lose the answer of one in %d of the requests that they run: %t", lostFor, lostOf, trouble)
+	time.AfterFunc(lostFor, func() {
+		mu.Lock()
+		losing = false
+		mu.Unlock()
+		rec.logf("no answer is lost from now on")
+	})
 	c := newClient(rec, "2b9wu3fexd9dnn2ctnfz")
 	var wg sync.WaitGroup
 	encoded, plain := make([]string, bookings), make([]string, bookings)
@@ -94,7 +104,21 @@
 		}
 		return n
 	}
+	if countRuns(servers) < bookings {
+		return false, fmt.Errorf("fewer than half of the requests were run")
+	}
 	doubled, control := twice(encoded), twice(plain)
 	rec.logf("of %d unsafe requests with an encoded slash, %d ran twice; of %d without one, %d", bookings, doubled, bookings, control)
 	return doubled+control > 0, nil
 }
+
+// countRuns returns how many requests the servers have run.
+func countRuns(servers []*server) int {
+	n := 0
+	for _, s := range servers {
+		s.mu.Lock()
+		n += len(s.runs)
+		s.mu.Unlock()
+	}
+	return n
+}
--- a/review/lab-2/fleet.go
+++ b/review/lab-2/fleet.go
@@ -61,6 +61,12 @@
 		return nil, err
 	}
 	f := &fleet{rec: rec, dir: dir, zones: zones, memoryMB: 284, maxFDs: 4100}
+	ready := false
+	defer func() {
+		if !ready {
+			_ = os.RemoveAll(dir)
+		}
+	}()
 	f.binary, err = filepath.Abs("target/galenasaild")
 	if err != nil {
 		return nil, err
@@ -77,6 +83,7 @@
 	for i := range n {
 		f.machines = append(f.machines, &machine{fleet: f, name: fmt.Sprintf("front-%d", i+1), ip: fmt.Sprintf("%s.%d", f.net, i+1), zone: zones[i%len(zones)]})
 	}
+	ready = true
 	return f, nil
 }
 
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -13,6 +13,9 @@
 // scenario plays a case. It returns whether the rule was broken.
 type scenario func(rec *record, trouble bool) (broken bool, err error)
 
+// timeLimit ends a case that hangs.
+const timeLimit = 110 * time.Second
+
 var scenarios = map[string]scenario{}
 
 func main() {
@@ -30,7 +33,10 @@
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	go func() {
-		<-interrupted
+		select {
+		case <-interrupted:
+		case <-time.After(timeLimit):
+		}
 		stopAll()
 		os.Exit(2)
 	}()
--- a/review/lab-2/queued.go
+++ b/review/lab-2/queued.go
@@ -45,6 +45,9 @@
 	}
 	wg.Wait()
 	lost := 0
+	if countRuns([]*server{s}) == 0 {
+		return false, fmt.Errorf("no request was run")
+	}
 	for _, r := range results {
 		if r.err != nil && s.ran(r.id) == 0 {
 			rec.logf("%s: the connection ended without an answer %.3f s after the request; no server ran it", r.id, r.took.Seconds())
