config: an entry that cannot be served no longer holds back the rest of the store's configuration

Requests with a withdrawn key ran, the new route answered 404, draining targets kept their requests.

Cause: the documents of a store are built and accepted as a whole. One entry that document.Build refuses kept all others, and every later change, from taking effect. /galenasail/ was refused although the caller address answers no path itself where an adapter serves address queries elsewhere.

Event config_excluded and the field excluded of the state query show what is excluded. With an adapter, the path of address queries is a route like any other.

--- a/cmd/galenasail/ticket.go
+++ b/cmd/galenasail/ticket.go
@@ -140,5 +140,8 @@
 	if after, err = document.Build(next, nextContent); err != nil {
 		return nil, nil, findingError("%v", err)
 	}
+	if err := after.CheckReservedPaths(); err != nil {
+		return nil, nil, findingError("%v", err)
+	}
 	return before, after, nil
 }
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -182,6 +182,10 @@
 	ObjectiveMs int `json:"objectiveMs,omitempty"`
 	// Workspaces lists the workspaces that may use the route; empty means all.
 	Workspaces []string `json:"workspaces"`
+	// Unavailable, if not empty, is the reason for which requests of the route are
+	// refused as not run. Only ID, Host, PathPrefix, Methods, Open and Workspaces have a
+	// meaning then.
+	Unavailable string `json:"unavailable,omitempty"`
 }
 
 // WeightedService is one part of a split.
@@ -198,6 +202,8 @@
 	Kind string `json:"kind"`
 	// Routes lists the routes.
 	Routes []Route `json:"routes"`
+	// Excluded lists the entries of the operator's configuration that are not served.
+	Excluded []Exclusion `json:"excluded,omitempty"`
 }
 
 // DomainState is the configured state of a failure domain.
--- a/core/document/parse.go
+++ b/core/document/parse.go
@@ -144,6 +144,7 @@
 	for i := range d.Routes {
 		s.Routes = append(s.Routes, &d.Routes[i])
 	}
+	s.Excluded = append(s.Excluded, d.Excluded...)
 }
 
 // locate returns the document that defines a service or route, and the index of a
--- a/core/document/snapshot.go
+++ b/core/document/snapshot.go
@@ -24,6 +24,8 @@
 	Workspaces map[string]*Workspace
 	// Routes holds the routes, those with the longest prefix first.
 	Routes []*Route
+	// Excluded lists the entries of the operator's configuration that are not served.
+	Excluded []Exclusion
 	// Domains holds the states of the failure domains by name.
 	Domains map[string]DomainState
 
--- a/core/document/validate.go
+++ b/core/document/validate.go
@@ -107,8 +107,8 @@
 		return ".id", "must not be empty"
 	case !strings.HasPrefix(r.PathPrefix, "/"):
 		return ".pathPrefix", fmt.Sprintf("%q does not begin with a slash", r.PathPrefix)
-	case strings.HasPrefix(r.PathPrefix, "/galenasail/"):
-		return ".pathPrefix", "/galenasail/ is reserved"
+	case r.Unavailable != "":
+		return "", ""
 	case r.Service == "":
 		return ".service", "must not be empty"
 	case r.TimeoutMs < 1 || r.TimeoutMs > MaxTimeoutMs:
@@ -139,6 +139,9 @@
 			return s.routeError(r, "id", "duplicate "+r.ID)
 		}
 		ids[r.ID] = true
+		if r.Unavailable != "" {
+			continue
+		}
 		if _, ok := s.Services[r.Service]; !ok {
 			return s.routeError(r, "service", "no service "+r.Service)
 		}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -23,6 +23,9 @@
 	ConfigApplied
 	// ConfigRefused: a ticket failed validation.
 	ConfigRefused
+	// ConfigExcluded: an entry of the configuration in effect is not served, because it is
+	// not valid.
+	ConfigExcluded
 	// ConfigBehind: for some time, the configuration in effect was not known to be the
 	// newest one.
 	ConfigBehind
@@ -104,7 +107,8 @@
 var names = [kindCount]string{
 	Started: "started", Stopping: "stopping", Stopped: "stopped",
 	ConfigApplied: "config_applied", ConfigRefused: "config_refused",
-	ConfigBehind: "config_behind", ConfigCurrent: "config_current", StoreEpoch: "store_epoch", ListApplied: "list_applied",
+	ConfigExcluded: "config_excluded",
+	ConfigBehind:   "config_behind", ConfigCurrent: "config_current", StoreEpoch: "store_epoch", ListApplied: "list_applied",
 	PlatformLost: "platform_lost", PlatformBack: "platform_back",
 	PeerLost: "peer_lost", PeerBack: "peer_back",
 	ContactLost: "contact_lost", ContactBack: "contact_back",
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -60,6 +60,8 @@
 	Services   []document.Service
 	Workspaces []document.Workspace
 	Routes     []document.Route
+	// Excluded lists the entries that are not served, and why.
+	Excluded []document.Exclusion
 	// documents holds the documents of workspaces and routes, which replace Workspaces
 	// and Routes; nil for a configuration read from the store.
 	documents document.Content
@@ -198,7 +200,7 @@
 	switch {
 	case c.Configuration != nil:
 		if r.configuration == nil || c.Configuration.Version >= r.configuration.Version {
-			r.configuration = c.Configuration
+			r.configuration = c.Configuration.servable()
 		}
 	case c.Domain != "":
 		if c.DomainOut {
@@ -327,7 +329,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	for _, part := range []document.Content{workspaces, routes} {
+	excluded, err := document.ExclusionsDocument(c.Excluded)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, part := range []document.Content{workspaces, routes, excluded} {
 		for name, raw := range part {
 			content[name] = raw
 		}
--- a/node/command/admit.go
+++ b/node/command/admit.go
@@ -39,10 +39,13 @@
 		return errNoRoute()
 	}
 	ex.route = rt
-	ex.service = ex.snapshot.Services[current.splitter.Service(rt)]
 	if err := ex.authenticate(); err != nil {
 		return err
 	}
+	if err := checkAvailable(rt); err != nil {
+		return err
+	}
+	ex.service = ex.snapshot.Services[current.splitter.Service(rt)]
 	if ex.r.ContentLength > rt.MaxBodyBytes {
 		return fault.New(fault.TooLarge, "the body has %d bytes, the route allows %d", ex.r.ContentLength, rt.MaxBodyBytes)
 	}
@@ -71,6 +74,14 @@
 	return fault.New(fault.NoRoute, "no route for this method and path")
 }
 
+// checkAvailable refuses the requests of a route that the configuration cannot serve.
+func checkAvailable(rt *document.Route) error {
+	if rt.Unavailable == "" {
+		return nil
+	}
+	return fault.New(fault.NoCapacity, "route %s cannot be served as it is configured: %s", rt.ID, rt.Unavailable)
+}
+
 // validateRequest refuses requests that cannot be forwarded safely.
 func validateRequest(r *http.Request) error {
 	size := len(r.RequestURI) + len(r.Host)
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -85,6 +85,9 @@
 	// OverloadControl decides by package overload which requests that a target shed are
 	// retried, and when refused callers return. Default: false.
 	OverloadControl bool
+	// Addresses serves GET /galenasail/v1/addresses. Default: the path is handled like any
+	// other.
+	Addresses http.Handler
 	// Dial opens connections to targets. Default: TCP with a timeout of 500 ms.
 	Dial DialFunc
 }
@@ -137,8 +140,8 @@
 	return c
 }
 
-// Handler serves the requests of callers on all paths except those below
-// /galenasail/. It is safe for concurrent use.
+// Handler serves the requests of callers on all paths except that of address queries,
+// where the server answers them. It is safe for concurrent use.
 type Handler struct {
 	cfg              Config
 	created          time.Time
--- a/node/command/explain.go
+++ b/node/command/explain.go
@@ -36,7 +36,7 @@
 	}
 	e.refuse(explain.StepRequest, validateRequest(r))
 	e.findWorkspace(current.snapshot, workspace)
-	if r.URL.Path == wire.AddressesPath {
+	if r.URL.Path == wire.AddressesPath && h.cfg.Addresses != nil {
 		e.note("the VM answers this path itself")
 		return e.Decision
 	}
@@ -103,6 +103,10 @@
 		ID: rt.ID, Host: rt.Host, PathPrefix: rt.PathPrefix, Methods: rt.Methods, Open: rt.Open,
 		Idempotent: idempotent, TimeoutMs: rt.TimeoutMs, Priority: rt.Priority,
 	}
+	if err := checkAvailable(rt); err != nil {
+		e.refuse(explain.StepRoute, err)
+		return
+	}
 	service := current.snapshot.Services[current.splitter.Next(rt)]
 	e.Admission.Service = explainService(rt, service)
 	e.Permit = e.permitRequest(rt, service, idempotent)
--- a/node/command/explain_test.go
+++ b/node/command/explain_test.go
@@ -81,6 +81,10 @@
 	if d := f.explain("GET", "/b/x", "clinic-a"); d.Admission.Workspace.Allowed || d.Admission.Route == nil || d.Permit.Service == nil {
 		t.Errorf("steps after a refusal are missing: %+v", d)
 	}
+	if d := f.explain("GET", wire.AddressesPath, "clinic-x"); d.Refusal == nil || d.Refusal.Step != explain.StepRoute {
+		t.Errorf("path that the VM does not answer itself explained as %+v", d)
+	}
+	f.handler.cfg.Addresses = http.NotFoundHandler()
 	if d := f.explain("GET", wire.AddressesPath, "clinic-x"); d.Refusal != nil || d.Admission.Route != nil || len(d.Admission.Notes) != 2 {
 		t.Errorf("path of the VM explained as %+v", d)
 	}
--- a/node/command/server.go
+++ b/node/command/server.go
@@ -42,9 +42,6 @@
 type ServerConfig struct {
 	// Handler serves the requests of callers.
 	Handler *Handler
-	// Addresses serves GET /galenasail/v1/addresses. Default: the path is handled
-	// like any other.
-	Addresses http.Handler
 	// Guard bounds what is held for callers. Default: no bound.
 	Guard *limit.Guard
 	// ErrorLog receives the connection errors that net/http logs. Default: the
@@ -90,8 +87,8 @@
 // canonical form.
 func newRootHandler(cfg ServerConfig) http.Handler {
 	var addresses http.Handler
-	if cfg.Addresses != nil {
-		addresses = limit.Requests(cfg.Addresses)
+	if h := cfg.Handler.cfg.Addresses; h != nil {
+		addresses = limit.Requests(h)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == wire.AddressesPath && addresses != nil {
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -212,24 +212,26 @@
 		Events:          d.recorder,
 		Metrics:         d.requestMetrics,
 		OverloadControl: d.settings.OverloadControl,
+		Addresses:       d.callerAddresses(),
 	}
 	if a := d.adapter; a != nil {
 		cfg.Dialect, cfg.VMRetryBudget, cfg.ConnsPerTarget, cfg.StartupWait = a.Dialect, a.vmRetryBudget(len(d.settings.LocalDomains)), adapterConnsPerTarget, adapterStartWait
 	}
 	d.handler = command.New(cfg)
 	d.holderAddresses = query.NewHolderAddresses(query.HolderAddressesConfig{Identity: d.identity, Configs: d.reader, Contact: d.cell, Ownership: d.cell})
-	d.callerServer = command.NewServer(command.ServerConfig{
-		Handler: d.handler,
-		Guard:   d.guards.callers,
-		Addresses: query.NewAddresses(query.AddressesConfig{
-			Identity: d.identity,
-			Configs:  d.reader,
-			Contact:  d.cell,
-		}),
-	})
+	d.callerServer = command.NewServer(command.ServerConfig{Handler: d.handler, Guard: d.guards.callers})
 	d.adminServer = d.newAdminServer(query.Admin{Events: d.recorder, State: d.state, Metrics: d.metrics.Handler, Explain: d.explainer()}.Handler())
 }
 
+// callerAddresses returns the handler of address queries on the caller address; nil with an
+// adapter, which has a server of its own for them, so that all paths belong to the routes.
+func (d *Daemon) callerAddresses() http.Handler {
+	if d.adapter != nil {
+		return nil
+	}
+	return query.NewAddresses(query.AddressesConfig{Identity: d.identity, Configs: d.reader, Contact: d.cell})
+}
+
 // explainer returns the handler of queries that explain requests; nil with the policies of
 // package baseline, whose decisions the handler cannot explain.
 func (d *Daemon) explainer() http.Handler {
--- a/node/daemon/state.go
+++ b/node/daemon/state.go
@@ -31,7 +31,7 @@
 		s.Accepting = true
 	}
 	if snapshot != nil {
-		s.Digest = snapshot.Digest
+		s.Digest, s.Excluded = snapshot.Digest, snapshot.Excluded
 		s.Targets = d.targetStates()
 	}
 	if list := d.reader.List(); list != nil {
--- a/node/platform/publish.go
+++ b/node/platform/publish.go
@@ -82,6 +82,7 @@
 			return
 		}
 		r.reportChanges(old.snapshot, e.Snapshot, r.originDetail(e, old))
+		r.reportExclusions(old.snapshot, e.Snapshot)
 		r.config.OnTicket(e.Snapshot, e.FromPlatform)
 	case config.ListApplied:
 		if e.List != next.list {
@@ -106,6 +107,21 @@
 	}
 }
 
+// reportExclusions records the entries that s excludes and old, which may be nil, does not.
+func (r *Reader) reportExclusions(old, s *document.Snapshot) {
+	known := map[document.Exclusion]bool{}
+	if old != nil {
+		for _, x := range old.Excluded {
+			known[x] = true
+		}
+	}
+	for _, x := range s.Excluded {
+		if !known[x] {
+			r.config.Events.Record(event.ConfigExcluded, x.Entry, x.Reason)
+		}
+	}
+}
+
 // refusal returns the subject and the detail of the event for a refused configuration.
 func refusal(err error) (subject, detail string) {
 	var invalid *document.ValidationError
--- a/node/query/state.go
+++ b/node/query/state.go
@@ -1,6 +1,9 @@
 package query
 
-import "github.com/galenasail/galenasail/core/member"
+import (
+	"github.com/galenasail/galenasail/core/document"
+	"github.com/galenasail/galenasail/core/member"
+)
 
 // Health is the response to a health query.
 type Health struct {
@@ -32,6 +35,8 @@
 	Ticket uint64 `json:"ticket"`
 	// Digest identifies the configuration in effect.
 	Digest string `json:"digest,omitempty"`
+	// Excluded lists the entries of the configuration that are not served, and why.
+	Excluded []document.Exclusion `json:"excluded,omitempty"`
 	// ListVersion is the version of the VM list in effect.
 	ListVersion uint64 `json:"listVersion"`
 	// Peers lists the other VMs of the VM list.
