command: each request that waits or runs when a graceful stop ends gets an answer

Cause: Drain only counted running requests, and http.Server.Close cut what was left. No wait knew of the stop: for a slot, a token, the rest of a body, a retry; nor did requests at targets.

Pipelined requests behind an answer with "Connection: close" stay unanswered.

--- a/node/command/answer.go
+++ b/node/command/answer.go
@@ -148,7 +148,7 @@
 	f.err = fault.Wrap(err, fault.AnswerIncomplete, "the answer of the target was truncated")
 	if !time.Now().Before(a.exchange.deadline) {
 		f.outcome = node.OutcomeTimeout
-	} else if a.exchange.r.Context().Err() != nil {
+	} else if a.exchange.r.Context().Err() != nil || a.exchange.stop.isEnded() {
 		f.outcome = node.OutcomeCanceled
 	}
 	return f
--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -249,6 +249,9 @@
 	case !time.Now().Before(ex.deadline):
 		f.outcome = node.OutcomeTimeout
 		f.err = fault.New(fault.DeadlineUnknown, "the deadline passed while a target had the request")
+	case ex.stop.isEnded():
+		f.outcome = node.OutcomeCanceled
+		f.err = fault.New(fault.OutcomeUnknown, "this VM shut down while a target had the request")
 	case ex.r.Context().Err() != nil:
 		f.outcome = node.OutcomeCanceled
 		f.err = fault.New(fault.OutcomeUnknown, "the caller disconnected or canceled the request")
@@ -285,6 +288,8 @@
 			f.retry = retryWithoutBudget
 			f.avoidTarget = true
 		}
+	case ex.stop.isEnded():
+		f.err = errStopping()
 	case ex.r.Context().Err() != nil:
 		f.err = fault.New(fault.DeadlineNotRun, "the caller disconnected or canceled the request")
 	case !time.Now().Before(ex.deadline):
--- a/node/command/body.go
+++ b/node/command/body.go
@@ -30,6 +30,7 @@
 var (
 	errBodyTooLarge = errors.New("the body is larger than the route allows")
 	errBodyStalled  = errors.New("the caller sent no more of the body")
+	errBodyStopped  = errors.New("the VM shut down while the caller sent the body")
 )
 
 // callerBody is the body of a caller's request: the part in memory, which retries can send
@@ -49,6 +50,7 @@
 	announced http.Header // trailer of the request after readAhead; net/http changes it at the end of source
 
 	detached atomic.Bool
+	stopped  atomic.Bool // the VM shuts down
 	eof      atomic.Bool // source was read to its end
 	source   io.ReadCloser
 
@@ -78,7 +80,9 @@
 	_ = b.control.EnableFullDuplex()
 	b.boundRead()
 	b.held.AwaitBody(true)
+	ex.stop.awaitBody(b)
 	err := b.readAhead()
+	ex.stop.awaitBody(nil)
 	b.held.AwaitBody(false)
 	ex.externalTime += time.Since(began)
 	if err != nil {
@@ -164,7 +168,7 @@
 
 // stalled reports whether err ended a read because the caller sent nothing for the stall time.
 func (b *callerBody) stalled(err error) bool {
-	return b.held != nil && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(b.deadline) && !b.detached.Load()
+	return b.held != nil && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(b.deadline) && !b.detached.Load() && !b.stopped.Load()
 }
 
 // boundedSource reads from the caller's connection as long as the caller makes progress.
@@ -177,10 +181,13 @@
 		return b.source.Read(p)
 	}
 	b.boundRead()
+	// The deadline set here may have replaced the one with which detach or endReads ends a read.
 	if b.detached.Load() {
-		// The deadline set here may have replaced the one with which detach ends a read.
 		return 0, errBodyDetached
 	}
+	if b.stopped.Load() {
+		return 0, errBodyStopped
+	}
 	ended := b.transfer != nil && b.transfer.isEnded()
 	var n int
 	var err error
@@ -225,6 +232,13 @@
 	return b.readErr
 }
 
+// endReads ends the reads of the body because the VM shuts down.
+func (b *callerBody) endReads() {
+	b.stopped.Store(true)
+	// This call fails only on writers without a connection, as in tests.
+	_ = b.control.SetReadDeadline(time.Now())
+}
+
 // endSlow ends the reads of a body that is streamed too slowly while other requests wait.
 func (b *callerBody) endSlow() {
 	_ = b.control.SetReadDeadline(time.Now())
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -151,6 +151,7 @@
 	quarantine       *quarantine
 	outcomes         serviceOutcomes
 	transfers        transfers
+	stopping         stoppables
 	notices          *targetNotices
 	reporter         *requestReporter
 	returns          callerReturns
--- a/node/command/fail.go
+++ b/node/command/fail.go
@@ -12,7 +12,7 @@
 // fail answers with an error, or aborts the connection or HTTP/2 stream if the status of
 // an answer was already sent.
 func (ex *exchange) fail(err error) {
-	e := ex.spreadReturn(ex.correctOutcome(fault.From(err)))
+	e := ex.spreadReturn(ex.correctOutcome(ex.whenStopped(fault.From(err))))
 	ex.h.cfg.Metrics.Failed(e.Kind, ex.workspaceID())
 	ex.recordDone(ex.h.reporter.failed, e.Error())
 	if ex.statusSent {
--- a/node/command/fakes_test.go
+++ b/node/command/fakes_test.go
@@ -36,8 +36,10 @@
 	list       *member.List
 	contact    atomic.Pointer[error] // Contact.Check; nil for no error
 	admit      func() error          // Limiter.Admit; nil for no error
-	check      func() error          // Permit.Check
-	hedgeAfter time.Duration         // Permit.HedgeAfter
+	admitCtx   func(context.Context) error
+	acquire    func(context.Context, node.PermitRequest) (node.Permit, error) // Picker.Acquire; nil for the first target
+	check      func() error                                                   // Permit.Check
+	hedgeAfter time.Duration                                                  // Permit.HedgeAfter
 	mu         sync.Mutex
 	outcomes   []node.Outcome
 	outcomeOf  map[string]node.Outcome // last outcome by target ID
@@ -65,7 +67,10 @@
 	return map[string]uint64{"vm-1": testInstance, "vm-2": 0xdef}[id], true
 }
 
-func (f *harness) Admit(context.Context, *document.Workspace) error {
+func (f *harness) Admit(ctx context.Context, _ *document.Workspace) error {
+	if f.admitCtx != nil {
+		return f.admitCtx(ctx)
+	}
 	if f.admit != nil {
 		return f.admit()
 	}
@@ -93,7 +98,15 @@
 
 func (f *harness) Subscribe(on func(node.PoisonMark)) { f.onMark = on }
 
-func (f *harness) Acquire(_ context.Context, r node.PermitRequest) (node.Permit, error) {
+func (f *harness) Acquire(ctx context.Context, r node.PermitRequest) (node.Permit, error) {
+	if f.acquire != nil {
+		return f.acquire(ctx, r)
+	}
+	return f.firstTarget(r)
+}
+
+// firstTarget returns a permit for the first target that r does not avoid.
+func (f *harness) firstTarget(r node.PermitRequest) (node.Permit, error) {
 	for _, t := range r.Service.Targets {
 		if !strings.Contains(strings.Join(r.Avoid, " "), t.ID) {
 			return &fakePermit{f, t}, nil
@@ -247,6 +260,7 @@
 		f.t.Fatal(err)
 	}
 	ex.ctx = f.t.Context()
+	f.handler.stopping.add(&ex.stop, ex.attemptLead(), func() {})
 	if err := ex.readBody(); err != nil {
 		f.t.Fatal(err)
 	}
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -68,12 +68,17 @@
 	p, err := ex.h.cfg.Picker.Acquire(ex.ctx, ex.permitRequest())
 	stop()
 	ex.permitWait += time.Since(began)
+	if err == nil && !ex.stop.beginAttempt() {
+		p.Release(node.OutcomeUnused, 0)
+		err = errStopping()
+	}
 	if err != nil {
 		err = ex.h.notices.withReturnTime(ex.service.Name, err, time.Now())
 		f = &failure{err: err, outcome: node.OutcomeUnused}
 		return nil, err
 	}
 	f = ex.runAttempts(p)
+	ex.stop.endAttempt()
 	if f == nil {
 		ex.ran = fault.RanYes
 		ex.h.quarantine.clearMarks(ex.fingerprint)
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -54,6 +54,7 @@
 	tokenWait      time.Duration  // wait for a token of the workspace's rate limit
 	permitWait     time.Duration  // wait for permits of targets
 	held           *limit.Request // what is held for the request; nil without a bound
+	stop           stoppable
 }
 
 // ServeHTTP admits, forwards and answers one request.
@@ -109,6 +110,8 @@
 	ctx, cancel := context.WithDeadline(ex.r.Context(), ex.deadline)
 	defer cancel()
 	ex.ctx = ctx
+	ex.h.stopping.add(&ex.stop, ex.attemptLead(), cancel)
+	defer ex.stop.remove()
 	if err := ex.readBody(); err != nil {
 		return err
 	}
--- a/node/command/server.go
+++ b/node/command/server.go
@@ -123,12 +123,19 @@
 }
 
 // Shutdown refuses new requests with the error shutting_down, waits until the
-// running ones have finished or ctx ends, and closes all connections. The listener
+// running ones have finished or ctx ends, and closes all connections. Requests that a
+// target could not answer before the deadline of ctx are refused; those that targets
+// have at its end are answered as such whose outcome is not known. The listener
 // stays open while requests run, so that new callers get an answer. It returns the
 // error of ctx if running requests were aborted.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.handler.cfg.Events.Record(event.Stopping, "callers", fmt.Sprintf("%d requests running", s.handler.Running()))
-	drainErr := s.handler.Drain(ctx)
+	drainCtx, cancelDrain := drainContext(ctx)
+	defer cancelDrain()
+	drainErr := s.handler.Drain(drainCtx)
+	if drainErr != nil {
+		s.handler.endRunning()
+	}
 	closeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer cancel()
 	if drainErr == nil {
@@ -142,6 +149,14 @@
 	return drainErr
 }
 
+// drainContext returns ctx with its deadline, if there is one, earlier by answerTime.
+func drainContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if at, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(ctx, at.Add(-answerTime))
+	}
+	return context.WithCancel(ctx)
+}
+
 // Close closes all connections immediately and aborts running requests.
 func (s *Server) Close() {
 	_ = s.http.Close()
@@ -149,12 +164,16 @@
 }
 
 // Drain refuses new requests and waits until the running ones have finished or
-// ctx ends. It returns the error of ctx if requests are still running.
+// ctx ends. Requests that wait are refused once a target could not answer them before the
+// deadline of ctx. It returns the error of ctx if requests are still running.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.draining.Store(true)
+	deadline, _ := ctx.Deadline()
+	h.stopping.setDeadline(deadline)
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
 	for h.Running() > 0 {
+		h.stopping.endWaiting(time.Now())
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
