poison: VMs that start later learn which requests are quarantined

Cause: a quarantine is known only from marks, each sent for 3 s. A process that starts later hears of none. Besides, the quarantine ends on all VMs at once, each of which may then probe, and a probe that crashes its target begins the same 60 s again.

Change: heartbeats and the response to a VM that fetches the configuration carry the quarantines in effect, and those that a probe has ended. A VM learns only a higher round than it knows, so that two VMs cannot keep a quarantine alive. After a quarantine one VM may probe at once, twice as many every 3 s.

--- a/core/contact/heartbeat.go
+++ b/core/contact/heartbeat.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenasail/galenasail/core/member"
+	"github.com/galenasail/galenasail/core/poison"
 )
 
 // Interval is the default time between two heartbeats to the same peer.
@@ -96,8 +97,13 @@
 	Unclaimed bool
 	// Marks holds the sender's recent poison marks.
 	Marks []PoisonMark
+	// Quarantines holds quarantines that the sender knows, at most MaxQuarantines of them.
+	Quarantines []poison.Announcement
 }
 
+// MaxQuarantines is the largest number of quarantines in one heartbeat.
+const MaxQuarantines = 8
+
 // HashVMID returns the number that identifies a VM ID in heartbeats.
 func HashVMID(id string) uint64 {
 	return xxhash.Sum64String(id)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -9,6 +9,9 @@
 
 var start = time.Unix(1000, 0)
 
+// noDelay lets a VM probe at the end of a quarantine.
+func noDelay() time.Duration { return 0 }
+
 // Guards against a quarantine after lost connections at a single target, one that is
 // too short, and more than one probe after it.
 func TestTwoTargetsQuarantine(t *testing.T) {
@@ -26,11 +29,11 @@
 	if !p.Mark(1, 11, now) {
 		t.Fatal("lost connections at two targets did not quarantine a request")
 	}
-	if ok, _, wait := p.Allow(1, now.Add(Quarantine-time.Second)); ok || wait != time.Second {
+	if ok, _, wait := p.Allow(1, noDelay, now.Add(Quarantine-time.Second)); ok || wait != time.Second {
 		t.Fatalf("1 s before the end of the quarantine: got ok %t, wait %s, want false and 1s", ok, wait)
 	}
 	now = now.Add(Quarantine)
-	if ok, probe, _ := p.Allow(1, now); !ok || !probe {
+	if ok, probe, _ := p.Allow(1, noDelay, now); !ok || !probe {
 		t.Fatal("no probe allowed after the quarantine")
 	}
 	if allowed(p, now) {
@@ -49,14 +52,14 @@
 func TestQuarantineEnds(t *testing.T) {
 	now := start.Add(Quarantine)
 	for name, end := range map[string]func(*Table){
-		"an answered probe": func(p *Table) { p.Clear(1) },
+		"an answered probe": func(p *Table) { p.Clear(1, start.Add(Quarantine)) },
 		"a released probe":  func(p *Table) { p.ReleaseProbe(1) },
 		"a probe timeout":   func(*Table) { now = now.Add(ProbeTimeout) },
 	} {
 		p := New(0)
 		p.Mark(1, 10, start)
 		p.Mark(1, 11, start)
-		p.Allow(1, start.Add(Quarantine))
+		p.Allow(1, noDelay, start.Add(Quarantine))
 		if end(p); !allowed(p, now) {
 			t.Errorf("request refused after %s", name)
 		}
@@ -69,7 +72,7 @@
 }
 
 func allowed(p *Table, now time.Time) bool {
-	ok, _, _ := p.Allow(1, now)
+	ok, _, _ := p.Allow(1, noDelay, now)
 	return ok
 }
 
@@ -90,7 +93,7 @@
 				t.Fatalf("table has %d entries, limit is 8", p.Len())
 			}
 			for fp, end := range until {
-				if ok, _, _ := p.Allow(fp, now); ok && now.Before(end) {
+				if ok, _, _ := p.Allow(fp, noDelay, now); ok && now.Before(end) {
 					t.Fatalf("fingerprint %d allowed %s before its quarantine ends", fp, end.Sub(now))
 				}
 			}
--- a/node/cell/actor.go
+++ b/node/cell/actor.go
@@ -127,6 +127,8 @@
 	r.addStatus(&h, now)
 	h.Leaving = h.Leaving || r.cell.cfg.System.Failed() > 0
 	h.Marks = r.marks.pending(now)
+	list, _ := r.cell.subs.quarantines()
+	h.Quarantines = list(contact.MaxQuarantines)
 	h.ReadAge = r.readAge(now)
 	_ = r.cell.cfg.Transport.Send(p.VM, &h)
 }
@@ -196,6 +198,10 @@
 	for _, mark := range r.marks.filterNew(h.Marks, now) {
 		r.cell.subs.notify(mark)
 	}
+	_, learn := r.cell.subs.quarantines()
+	for _, q := range h.Quarantines {
+		learn(q)
+	}
 }
 
 // acquiring reports whether this VM claims a shard that it does not hold
--- a/node/cell/fault_test.go
+++ b/node/cell/fault_test.go
@@ -9,6 +9,7 @@
 	"github.com/galenasail/galenasail/core/event"
 	"github.com/galenasail/galenasail/core/fault"
 	"github.com/galenasail/galenasail/core/member"
+	"github.com/galenasail/galenasail/core/poison"
 	"github.com/galenasail/galenasail/node"
 	"github.com/galenasail/galenasail/node/duty"
 )
@@ -102,6 +103,25 @@
 	}
 }
 
+// Guards against a VM that starts after a request was quarantined and never learns of it, because
+// marks are sent for a few seconds only.
+func TestVMThatStartsLaterLearnsQuarantines(t *testing.T) {
+	t.Parallel()
+	vms := startCell(t, 3)
+	want := poison.Announcement{Fingerprint: 5, Round: 2, Remaining: 40 * time.Second}
+	vms[1].ExchangeQuarantines(func(limit int) []poison.Announcement { return []poison.Announcement{want}[:min(1, limit)] }, func(poison.Announcement) {})
+	list := vms[0].configs.List()
+	vms[0].close()
+	vms[0] = startVM(t, 0, vms[0].vm.PeerAddress)
+	var learned atomic.Pointer[poison.Announcement]
+	vms[0].ExchangeQuarantines(func(int) []poison.Announcement { return nil }, func(a poison.Announcement) { learned.Store(&a) })
+	vms[0].configs.list.Store(list)
+	eventually(t, 3*time.Second, "the quarantine is learned", func() bool {
+		a := learned.Load()
+		return a != nil && *a == want
+	})
+}
+
 // Guards against a VM that accepts work although one of its duties (background tasks)
 // failed, before it has a VM list, or while the list has it as leaving; against
 // messages that are dropped without an event; and against leases and contact that
--- a/node/cell/marks.go
+++ b/node/cell/marks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenasail/galenasail/core/contact"
+	"github.com/galenasail/galenasail/core/poison"
 	"github.com/galenasail/galenasail/node"
 )
 
@@ -89,10 +90,23 @@
 	}
 }
 
-// subscribers holds the functions that are called for each new mark of a peer.
+// subscribers holds the functions that are called for each new mark of a peer, and those that
+// exchange quarantines.
 type subscribers struct {
 	mu        sync.Mutex
 	callbacks []func(node.PoisonMark)
+	list      func(limit int) []poison.Announcement
+	learn     func(poison.Announcement)
+}
+
+// quarantines returns the functions that exchange quarantines.
+func (s *subscribers) quarantines() (list func(limit int) []poison.Announcement, learn func(poison.Announcement)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.list == nil {
+		return func(int) []poison.Announcement { return nil }, func(poison.Announcement) {}
+	}
+	return s.list, s.learn
 }
 
 func (s *subscribers) notify(m contact.PoisonMark) {
@@ -116,3 +130,11 @@
 	defer c.subs.mu.Unlock()
 	c.subs.callbacks = append(c.subs.callbacks[:len(c.subs.callbacks):len(c.subs.callbacks)], f)
 }
+
+// ExchangeQuarantines registers the functions that list the quarantines for the next heartbeat
+// and that learn a quarantine of a peer. They must not block.
+func (c *Cell) ExchangeQuarantines(list func(limit int) []poison.Announcement, learn func(poison.Announcement)) {
+	c.subs.mu.Lock()
+	defer c.subs.mu.Unlock()
+	c.subs.list, c.subs.learn = list, learn
+}
--- a/node/command/explain_test.go
+++ b/node/command/explain_test.go
@@ -112,7 +112,7 @@
 	if h.index.Load() != nil || h.Running() != 0 || len(h.outcomes.byService) != 0 || len(h.notices.byService["citas"]) != 2 {
 		t.Errorf("index %v, %d requests, outcomes %v, notices %v", h.index.Load(), h.Running(), h.outcomes.byService, h.notices.byService)
 	}
-	h.quarantine.table.Clear(fingerprint)
+	h.quarantine.table.Clear(fingerprint, time.Now())
 	rec := httptest.NewRecorder()
 	r := httptest.NewRequest("GET", "/get/x", nil)
 	r.Header.Set("Authorization", "Bearer "+testKey)
--- a/node/command/fakes_test.go
+++ b/node/command/fakes_test.go
@@ -20,6 +20,7 @@
 	"github.com/galenasail/galenasail/core/fault"
 	"github.com/galenasail/galenasail/core/invariant"
 	"github.com/galenasail/galenasail/core/member"
+	"github.com/galenasail/galenasail/core/poison"
 	"github.com/galenasail/galenasail/node"
 	"github.com/galenasail/galenasail/node/wire"
 )
@@ -47,6 +48,8 @@
 	events     []string
 	marks      []node.PoisonMark
 	onMark     func(node.PoisonMark)
+	announce   func(int) []poison.Announcement
+	learn      func(poison.Announcement)
 	handler    *Handler
 	server     *Server
 	url        string
@@ -98,6 +101,12 @@
 
 func (f *harness) Subscribe(on func(node.PoisonMark)) { f.onMark = on }
 
+func (f *harness) ExchangeQuarantines(list func(int) []poison.Announcement, learn func(poison.Announcement)) {
+	f.announce, f.learn = list, learn
+}
+
+func (f *harness) Announce() {}
+
 func (f *harness) Acquire(ctx context.Context, r node.PermitRequest) (node.Permit, error) {
 	if f.acquire != nil {
 		return f.acquire(ctx, r)
--- a/node/daemon/assemble.go
+++ b/node/daemon/assemble.go
@@ -286,9 +286,9 @@
 
 func (d *Daemon) fetcher() platform.PeerFetcher {
 	if d.partition == nil {
-		return d.peerClient
+		return quarantineFetcher{d.peerClient, d}
 	}
-	return partitionedFetcher{d.peerClient, d}
+	return quarantineFetcher{partitionedFetcher{d.peerClient, d}, d}
 }
 
 func (d *Daemon) transport() cell.Transport {
--- a/node/daemon/peers.go
+++ b/node/daemon/peers.go
@@ -51,7 +51,7 @@
 		OnRefused: d.recordRefusedPeer,
 		Guard:     d.guards.peers,
 		Handlers: peer.Handlers{
-			FetchConfig:     d.reader.FetchConfig,
+			FetchConfig:     d.fetchConfig,
 			AcquireTokens:   d.limiter.AcquireTokens,
 			ExchangePermits: d.pool.ExchangePermits,
 			ReportPermits:   d.pool.ReportPermits,
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/galenasail/galenasail/core/event"
 	"github.com/galenasail/galenasail/core/invariant"
 	"github.com/galenasail/galenasail/core/member"
+	"github.com/galenasail/galenasail/core/poison"
 )
 
 // Identity identifies this VM and its process.
@@ -162,12 +163,18 @@
 	Target uint64
 }
 
-// PoisonMarks distributes poison marks within the cell.
+// PoisonMarks distributes poison marks and quarantines within the cell.
 type PoisonMarks interface {
 	// Report adds a mark observed by this VM and sends it to the peers.
 	Report(m PoisonMark)
 	// Subscribe registers f to be called for marks of peers. f must not block.
 	Subscribe(f func(PoisonMark))
+	// ExchangeQuarantines registers the functions that list the quarantines for the next
+	// heartbeat, at most limit of them, and that learn a quarantine of a peer. They must
+	// not block.
+	ExchangeQuarantines(list func(limit int) []poison.Announcement, learn func(poison.Announcement))
+	// Announce sends a heartbeat to each peer at once.
+	Announce()
 }
 
 // Events records events and violated invariants.
--- a/node/peer/udp_test.go
+++ b/node/peer/udp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/galenasail/galenasail/core/contact"
 	"github.com/galenasail/galenasail/core/member"
+	"github.com/galenasail/galenasail/core/poison"
 )
 
 // heartbeats generates heartbeats with any content that the encoding can represent.
@@ -19,6 +21,10 @@
 	h.PlatformAge = h.PlatformAge.Abs() % contact.PlatformAgeMax / time.Millisecond * time.Millisecond
 	h.ReadAge = h.ReadAge.Abs() % contact.ReadAgeMax / time.Millisecond * time.Millisecond
 	h.Marks = append([]contact.PoisonMark(nil), h.Marks[:min(len(h.Marks), MaxMarks)]...)
+	h.Quarantines = append([]poison.Announcement(nil), h.Quarantines[:min(len(h.Quarantines), contact.MaxQuarantines)]...)
+	for i := range h.Quarantines {
+		h.Quarantines[i].Remaining = h.Quarantines[i].Remaining.Abs() % poison.MaxQuarantine / time.Millisecond * time.Millisecond
+	}
 	return &h
 })
 
@@ -48,6 +54,35 @@
 	})
 }
 
+// Guards against a heartbeat that is dropped because it holds all that it may hold.
+func TestLargestHeartbeatFitsIntoADatagram(t *testing.T) {
+	h := &contact.Heartbeat{
+		From: math.MaxUint64, Instance: math.MaxUint64, Seq: math.MaxUint64, EchoInstance: math.MaxUint32, Echo: math.MaxUint64,
+		ListVersion: math.MaxUint64, Ticket: math.MaxUint64, Digest: math.MaxUint32, PlatformAge: contact.PlatformAgeMax,
+		ReadAge: contact.ReadAgeMax, Load: math.MaxUint32, Leaving: true, Unclaimed: true,
+	}
+	for s := range member.Shard(member.ShardCount) {
+		h.Claims.Add(s)
+		h.Held.Add(s)
+		h.Granted.Add(s)
+	}
+	for range MaxMarks + 1 {
+		h.Marks = append(h.Marks, contact.PoisonMark{Fingerprint: math.MaxUint64, Target: math.MaxUint64})
+	}
+	for range contact.MaxQuarantines + 1 {
+		h.Quarantines = append(h.Quarantines, poison.Announcement{Fingerprint: math.MaxUint64, Round: math.MaxUint32, Remaining: poison.MaxQuarantine})
+	}
+	c := NewCodec(key)
+	raw, err := c.Encode(nil, h, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := c.Decode(raw, 7)
+	if err != nil || len(got.Marks) != MaxMarks || len(got.Quarantines) != contact.MaxQuarantines {
+		t.Errorf("%d marks and %d quarantines, error %v", len(got.Marks), len(got.Quarantines), err)
+	}
+}
+
 // FuzzDecode guards against panics, and against content that Decode accepts but
 // that changes when it is encoded and decoded again.
 func FuzzDecode(f *testing.F) {
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -20,7 +20,7 @@
 
 // MaxDatagram is the size limit of a heartbeat with its signature, in bytes. The
 // heartbeat of a VM that claims and is granted all shards has about 500 bytes, and
-// each poison mark adds 20. The limit is below the minimum IPv6 MTU of 1280 bytes,
+// each poison mark or quarantine adds 20. The limit is below the minimum IPv6 MTU of 1280 bytes,
 // so datagrams are not fragmented.
 const MaxDatagram = 1200
 
@@ -45,7 +45,9 @@
 	tagSize int // bytes of the signature or checksum at the end
 	message peerv1.Heartbeat
 	marks   []peerv1.PoisonMark
-	sum     [sha256.Size]byte
+	// quarantines holds the messages of message.Quarantines.
+	quarantines [contact.MaxQuarantines]peerv1.Quarantine
+	sum         [sha256.Size]byte
 }
 
 // NewCodec returns a codec for the fleet's shared key. Without a key, datagrams
@@ -111,6 +113,16 @@
 		c.marks[i].Target = mark.Target
 		m.Marks = append(m.Marks, &c.marks[i])
 	}
+	c.fillQuarantines(h)
+}
+
+// fillQuarantines copies the quarantines of h and drops those above contact.MaxQuarantines.
+func (c *Codec) fillQuarantines(h *contact.Heartbeat) {
+	c.message.Quarantines = c.message.Quarantines[:0]
+	for i, q := range h.Quarantines[:min(len(h.Quarantines), contact.MaxQuarantines)] {
+		encodeQuarantine(&c.quarantines[i], q)
+		c.message.Quarantines = append(c.message.Quarantines, &c.quarantines[i])
+	}
 }
 
 func appendShards(out []uint32, set member.ShardSet) []uint32 {
@@ -147,6 +159,9 @@
 	if len(m.Marks) > MaxMarks {
 		return nil, trace.BadParameter("heartbeat: %d marks, the limit is %d", len(m.Marks), MaxMarks)
 	}
+	if len(m.Quarantines) > contact.MaxQuarantines {
+		return nil, trace.BadParameter("heartbeat: %d quarantines, the limit is %d", len(m.Quarantines), contact.MaxQuarantines)
+	}
 	h := &contact.Heartbeat{
 		From:         m.From,
 		Instance:     m.Instance,
@@ -165,6 +180,7 @@
 	for _, mark := range m.Marks {
 		h.Marks = append(h.Marks, contact.PoisonMark{Fingerprint: mark.Fingerprint, Target: mark.Target})
 	}
+	h.Quarantines = DecodeQuarantines(m.Quarantines)
 	return h, c.parseShards(h)
 }
 
