command: the close of a waiting caller is noticed whatever the length of its body

Cause: the close follows the body. A VM reads a derived part of it (64 KB to 8 MB) before the request waits; behind a longer body the close stays unread.

The bytes are charged, leave a quarter of the memory for callers to others and close no connection; without room the request is refused as not run.

The failure of the users with 24 KB bodies was not reproduced, before or after.

--- a/core/membudget/budget.go
+++ b/core/membudget/budget.go
@@ -46,6 +46,9 @@
 	idleGrace = 15 * time.Second
 )
 
+// spareShare is the share of the bytes that ChargeSpare leaves to other demands.
+const spareShare = 0.25
+
 // Account is what is held for one connection.
 type Account struct {
 	holder   *holder
@@ -147,6 +150,16 @@
 	return evicted, ok
 }
 
+// ChargeSpare adds bytes to an account if that leaves spareShare of the limit free. ok is false,
+// and nothing is added, if it does not or the account is closed.
+func (b *Budget) ChargeSpare(a *Account, bytes int64) (ok bool) {
+	if a.closed || float64(b.bytes+bytes) > (1-spareShare)*float64(b.limits.Bytes) {
+		return false
+	}
+	b.add(a, bytes)
+	return true
+}
+
 // Hold adds bytes that are already in use, even beyond the limit. It closes stalled
 // connections only; evicted lists them.
 func (b *Budget) Hold(a *Account, bytes int64, now time.Time) (evicted []*Account) {
--- a/core/membudget/budget_test.go
+++ b/core/membudget/budget_test.go
@@ -212,3 +212,21 @@
 		}
 	}
 }
+
+// Guards against bytes that are charged as spare although others need them, and against closing a
+// connection for them.
+func TestSpareBytesLeaveRoomForOthers(t *testing.T) {
+	b := New(Limits{Bytes: 100, Connections: 10})
+	stalled := open(t, b, "x", 60, start)
+	a := open(t, b, "x", 10, start)
+	if !b.ChargeSpare(a, 5) || b.ChargeSpare(a, 1) {
+		t.Errorf("%d bytes are held, want 75 of 100", b.Bytes())
+	}
+	if stalled.Closed() {
+		t.Error("a connection was closed for spare bytes")
+	}
+	b.Close(a)
+	if b.ChargeSpare(a, 1) || b.Bytes() != 60 {
+		t.Errorf("a closed account was charged: %d bytes, want 60", b.Bytes())
+	}
+}
--- a/node/command/body.go
+++ b/node/command/body.go
@@ -37,7 +37,7 @@
 // again, and the rest still to be read from the caller's connection.
 type callerBody struct {
 	prefix   []byte
-	segments [][]byte                   // what follows the prefix in memory; all but the last are full
+	segments [][]byte                   // what follows the prefix in memory
 	buffered bool                       // the complete body is in memory
 	length   int64                      // in bytes; -1 if unknown
 	limit    int64                      // maximum length in bytes
@@ -55,8 +55,9 @@
 	source   io.ReadCloser
 
 	mu       sync.Mutex
-	consumed int64        // bytes read from source
-	stream   *bodyStream  // nil before the first attempt and if the complete body is in memory
+	consumed int64       // bytes read from source
+	stream   *bodyStream // nil before the first attempt and if the complete body is in memory
+	ahead    aheadRead
 	reader   *attemptBody // body of the newest attempt, the only one that may read from source
 	readErr  error        // error that ended source early
 
@@ -208,6 +209,8 @@
 	switch {
 	case errors.As(err, &refusal):
 		return refusal
+	case errors.Is(err, errNoRoomAhead):
+		return fault.New(fault.Overloaded, "this VM has no room for the body while the request waits")
 	case errors.Is(err, errBodyStalled):
 		return fault.Wrap(err, fault.DeadlineNotRun, "the body made no progress")
 	case errors.Is(err, errBodyTooLarge):
@@ -266,8 +269,11 @@
 		return b.prefix[offset:]
 	}
 	offset -= len(b.prefix)
-	if i := offset / segmentBytes; i < len(b.segments) {
-		return b.segments[i][offset%segmentBytes:]
+	for _, s := range b.segments {
+		if offset < len(s) {
+			return s[offset:]
+		}
+		offset -= len(s)
 	}
 	return nil
 }
--- a/node/command/bodysource.go
+++ b/node/command/bodysource.go
@@ -40,14 +40,22 @@
 func (b *callerBody) forAttempt(onEOF func()) *attemptBody {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stream == nil && !b.buffered {
-		b.stream = &bodyStream{changed: sync.Cond{L: &b.mu}}
+	if !b.buffered {
+		b.openStream()
 	}
 	b.reader = &attemptBody{body: b, onEOF: onEOF, gap: b.stream != nil && b.stream.taken}
 	b.stream.wake()
 	return b.reader
 }
 
+// openStream returns the stream and creates it if necessary. The caller holds mu.
+func (b *callerBody) openStream() *bodyStream {
+	if b.stream == nil {
+		b.stream = &bodyStream{changed: sync.Cond{L: &b.mu}}
+	}
+	return b.stream
+}
+
 // endAttempt ends the reads of the newest attempt, so that the body can be sent again by the
 // next one. A read from the caller's connection that is in progress continues for that one.
 func (b *callerBody) endAttempt() {
@@ -139,21 +147,22 @@
 	if s.buf == nil {
 		s.buf = make([]byte, streamBytes)
 	}
-	if b.transfer == nil && b.held != nil {
-		b.transfer = b.join(b.endSlow)
-	}
+	b.joinTransfer()
 	b.held.AwaitBody(true)
 	n, err := b.readStreamed(s.buf)
 	b.held.AwaitBody(false)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s.unsent = s.buf[:n]
 	b.consumed += int64(n)
 	if b.consumed > b.limit {
-		s.unsent, err = nil, errBodyTooLarge
+		n, err = 0, errBodyTooLarge
 	}
-	s.err = err
 	b.eof.Store(err == io.EOF)
+	if b.storeAhead(s.buf[:n], err) {
+		return
+	}
+	s.unsent = s.buf[:n]
+	s.err = err
 	if err != nil && err != io.EOF {
 		b.readErr = err
 	}
@@ -161,6 +170,16 @@
 	s.wake()
 }
 
+// joinTransfer adds the body to the transfers once it is streamed to a target.
+func (b *callerBody) joinTransfer() {
+	b.mu.Lock()
+	waits := b.ahead.running
+	b.mu.Unlock()
+	if b.transfer == nil && b.held != nil && !waits {
+		b.transfer = b.join(b.endSlow)
+	}
+}
+
 // attemptBody reads the body for one attempt: first the part in memory, then the rest. The
 // request has no GetBody, so that net/http cannot rewind and resend the body.
 type attemptBody struct {
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -65,13 +65,9 @@
 	}
 	began := time.Now()
 	stop := ex.h.transfers.endWhileWaiting(ex.service.Name)
-	p, err := ex.h.cfg.Picker.Acquire(ex.ctx, ex.permitRequest())
+	p, err := ex.acquire()
 	stop()
 	ex.permitWait += time.Since(began)
-	if err == nil && !ex.stop.beginAttempt() {
-		p.Release(node.OutcomeUnused, 0)
-		err = errStopping()
-	}
 	if err != nil {
 		err = ex.h.notices.withReturnTime(ex.service.Name, err, time.Now())
 		f = &failure{err: err, outcome: node.OutcomeUnused}
@@ -86,6 +82,22 @@
 	return f, nil
 }
 
+// acquire waits for a permit. After an error no attempt may begin.
+func (ex *exchange) acquire() (node.Permit, error) {
+	var p node.Permit
+	err := ex.waitWithBody(func(ctx context.Context) (err error) {
+		p, err = ex.h.cfg.Picker.Acquire(ctx, ex.permitRequest())
+		return err
+	})
+	if err == nil && !ex.stop.beginAttempt() {
+		err = errStopping()
+	}
+	if err != nil && p != nil {
+		p.Release(node.OutcomeUnused, 0)
+	}
+	return p, err
+}
+
 func (ex *exchange) permitRequest() node.PermitRequest {
 	return node.PermitRequest{
 		Service:     ex.service,
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -131,7 +131,7 @@
 	}
 	if ex.workspace != nil {
 		began := time.Now()
-		err := ex.h.cfg.Limiter.Admit(ex.ctx, ex.workspace)
+		err := ex.waitWithBody(func(ctx context.Context) error { return ex.h.cfg.Limiter.Admit(ctx, ex.workspace) })
 		ex.tokenWait = time.Since(began)
 		if err != nil {
 			return err
--- a/node/limit/guard.go
+++ b/node/limit/guard.go
@@ -158,6 +158,13 @@
 	return ok
 }
 
+// chargeSpare is like charge, but closes no other connection.
+func (g *Guard) chargeSpare(c *Conn, bytes int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.ChargeSpare(c.account, bytes)
+}
+
 // hold adds bytes that are in use to the account of c.
 func (g *Guard) hold(c *Conn, bytes int64) {
 	g.mu.Lock()
--- a/node/limit/request.go
+++ b/node/limit/request.go
@@ -102,6 +102,20 @@
 	return nil
 }
 
+// ChargeSpare charges bytes of a body that were read while the request waits, and reports whether
+// there is room: a quarter of the limit is left to other demands, and no connection is closed for
+// it.
+func (q *Request) ChargeSpare(bytes int64) bool {
+	if q == nil {
+		return true
+	}
+	if !q.conn.guard.chargeSpare(q.conn, bytes) {
+		return false
+	}
+	q.held += bytes
+	return true
+}
+
 // ReserveResponse charges a buffer for the response before the request is sent to a target, so
 // that responses which their callers do not read cannot exceed the limits. The error states that
 // the request did not run.
