target: a small part of the reserve allows no whole repeat for nothing

Callers could get one repeat more than the retry budget from each group whose holder has less than one repeat of the reserve: in a partition, or with many groups.

Cause: the limit of a holder's debt was at least 1, on the assumption that first requests would otherwise never pay for a repeat. They do: what they earn repays the debt and is a credit then.

Change: the limit is the part of the reserve, without a minimum.

The test's bounds are unchanged, its constant moved from the code into the test.

--- a/core/target/repeats_test.go
+++ b/core/target/repeats_test.go
@@ -7,15 +7,18 @@
 	"pgregory.net/rapid"
 )
 
+// oneRepeat is the smallest reserve that allows a repeat without first requests.
+const oneRepeat = 1
+
 // Guards against more repeats in some window than the budget allows, for any order of
 // requests.
 func TestRepeatsStayWithinTheirBudget(t *testing.T) {
-	checkRepeats(t, minDebtLimit, 50)
+	checkRepeats(t, oneRepeat, 50)
 }
 
 // Guards against the same where the holder's part of the reserve is below one repeat.
 func TestRepeatsStayWithinASmallReserve(t *testing.T) {
-	checkRepeats(t, 0, minDebtLimit)
+	checkRepeats(t, 0, oneRepeat)
 }
 
 // checkRepeats checks the repeats of random requests with a reserve between low and high.
@@ -106,3 +109,27 @@
 		t.Errorf("%d repeats with half of a reserve of 20 after the window, want 10", repeats)
 	}
 }
+
+// Guards against a holder with a part of the reserve below one repeat that allows none, although
+// its first requests pay for some.
+func TestFirstRequestsPayWithASmallReserve(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, reserve := range []float64{0, 0.5} {
+		r := newRetryAccount(FleetRetryBudget{Share: 0.2, Reserve: reserve}, start)
+		r.setPart(1, start)
+		now := start.Add(RepeatWait)
+		if r.allows(1, now) {
+			t.Errorf("reserve %.1f: a repeat without a request", reserve)
+		}
+		for range 20 {
+			r.recordFirst(now)
+		}
+		repeats := 0
+		for ; r.allows(1, now); repeats++ {
+			r.recordRepeat(now)
+		}
+		if repeats < 3 || repeats > 4 {
+			t.Errorf("reserve %.1f: %d repeats for 20 first requests, want 3 or 4", reserve, repeats)
+		}
+	}
+}
--- a/core/target/retry_account.go
+++ b/core/target/retry_account.go
@@ -19,9 +19,6 @@
 	creditBuckets = 5
 	// growthBuckets makes a growth of the part last as long as any credit.
 	growthBuckets = creditBuckets + 1
-	// minDebtLimit is the least limit of the debt of a holder. Below 1, first requests
-	// would never pay for a repeat.
-	minDebtLimit = 1
 	// rounding allows for the rounding of sums of amounts, in repeats.
 	rounding = 1e-9
 )
@@ -71,7 +68,7 @@
 
 // limit returns the highest total debt, in repeats, for a part of the reserve, 0 to 1.
 func (r *retryAccount) limit(part float64) float64 {
-	return max(minDebtLimit, part*r.budget.Reserve)
+	return part * r.budget.Reserve
 }
 
 // setPart sets the part of the reserve, 0 to 1, that belongs to this holder. What the limit
