restarts, poison: linter and the platform's words

Cause: staticcheck refused a condition written twice (SA4000), and the test of the retry budget used a key of the platform's store outside platform/.

Change: the condition is a loop; platformtest writes the configuration itself.

Evidence: staticcheck is clean; ./core/poison and ./cmd/restarts pass.

--- a/cmd/restarts/testbed_test.go
+++ b/cmd/restarts/testbed_test.go
@@ -59,7 +59,7 @@
 		t.Fatal(err)
 	}
 	store := platformtest.NewStore()
-	store.Put("op/config", platformtest.Configuration(service, key))
+	platformtest.PutConfiguration(store, service, key)
 	for i := range targets {
 		tb.startTarget(t, store, i)
 	}
--- a/core/document/servable.go
+++ b/core/document/servable.go
@@ -28,6 +28,8 @@
 // Entries are the entries of a configuration that was accepted elsewhere and is served as
 // far as possible, where Build would refuse it as a whole.
 type Entries struct {
+	// Services, Workspaces and Routes are in the order in which an earlier entry goes before a
+	// later one that contradicts it.
 	Services   []Service
 	Workspaces []Workspace
 	Routes     []Route
--- a/core/poison/announcement_test.go
+++ b/core/poison/announcement_test.go
@@ -56,8 +56,10 @@
 	tell(a, b, 0, end)
 	tell(b, c, 0, end)
 	for i, table := range []*Table{a, b, c} {
-		if !allowed(table, end) || !allowed(table, end) {
-			t.Errorf("table %d refuses the request after the probe was answered", i)
+		for range 2 {
+			if !allowed(table, end) {
+				t.Errorf("table %d refuses the request after the probe was answered", i)
+			}
 		}
 		if table.Learn(old[0], end); !allowed(table, end) {
 			t.Errorf("table %d: an earlier announcement began the quarantine again", i)
