pool: two tests wait for the reports that they assume to be done

Cause, by a trace of each call that brings no permit (scratch copy): a report to the new holder, sent each 50 ms at most, begins a new generation, and the permit of the call in flight is discarded and asked for again ("generation 0 1"). 9 of 300 runs with -race beside load failed, each with this line and no other. That is the product's own rule, so that a holder never counts a permit less than is in use; the test took longer than the first 50 ms.

Change: both tests of this kind wait until all holders have a report before they count. What they check is unchanged: 30 acquires, none refused.

--- a/node/pool/anticipate_test.go
+++ b/node/pool/anticipate_test.go
@@ -44,12 +44,38 @@
 	return resp, err
 }
 
+// awaitReports waits until the VM has reported to the holders of all groups. A report discards the
+// permit of a call that is in flight, which is then made again.
+func (c *testCell) awaitReports(vm int) {
+	c.t.Helper()
+	defer c.mustAcquire(vm).Release(node.OutcomeOK, time.Millisecond)
+	deadline := time.Now().Add(10 * time.Second)
+	for _, client := range c.pools[vm].allClients() {
+		for !client.hasReported() {
+			if time.Now().After(deadline) {
+				c.t.Fatalf("group %s has no report after 10 s", client.name)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// hasReported reports whether the last report has been answered and no further one is due.
+func (c *groupClient) hasReported() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reportedTo.vm != "" && !c.reporting && !c.reportDue
+}
+
 // Guards against calls without a wait that the holder refuses although slots are free: each
 // request then costs further calls, and the holder counts a failed request.
 func TestAnticipationAsksOnceForFreeSlot(t *testing.T) {
 	c, choices := anticipatingCell(t, 2)
 	l := &countingPeer{PermitPeer: c.pools[1].config.Peer}
 	c.pools[1].config.Peer = l
+	c.awaitReports(1)
+	l.acquires.Store(0)
+	choices.Clear()
 	for range 30 {
 		c.mustAcquire(1).Release(node.OutcomeOK, time.Millisecond)
 	}
@@ -69,6 +95,8 @@
 	c := newTestCell(t, 2, s)
 	l := &countingPeer{PermitPeer: c.pools[1].config.Peer}
 	c.pools[1].config.Peer = l
+	c.awaitReports(1)
+	l.acquires.Store(0)
 	for range 30 {
 		c.mustAcquire(1).Release(node.OutcomeOK, time.Millisecond)
 	}
