lease: a VM that was paused takes nothing over before it has heard of its peers

Traced: VM 2 was paused from 10.61 s to 14.46 s. Of the refused requests those that show their number were all sent in that time (2.1 to 5.9 s before one moment near 16.5 s) and were refused after 2 s in a queue.

Callers saw 503 overloaded from groups whose targets were slow.

A VM that is continued after a pause checks its contacts before it reads the heartbeats that arrived meanwhile. It knows none of the permits of the former holder, and targets got 4 and 5 requests for 3 slots.

The lease state now notes that it was not updated for half of the contact timeout of fast heartbeats. Until as many VMs are in contact as before, at most for that timeout, it claims nothing that it did not claim before, and its quorum does not fall. A VM that really is alone waits 0.8 s longer.

--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -75,7 +75,8 @@
 }
 
 // chooseClaims claims the shards for which this VM is the first eligible member in rank
-// order, and drops the claims to all others.
+// order, and drops the claims to all others. After a stall it claims no others than before,
+// until the peers that are still there have been heard of.
 func (s *State) chooseClaims(statuses []contact.MemberStatus, now time.Time) {
 	mayClaim := s.listed() && !s.leaving && !s.Waiting(now) && s.list.VMs[s.self].State == member.Live
 	var added bool
@@ -84,7 +85,7 @@
 		switch {
 		case !want:
 			s.drop(shard)
-		case s.own[shard] == nil:
+		case s.own[shard] == nil && !s.stall.recovering(now):
 			added = true
 			s.own[shard] = &ownClaim{since: s.epoch + 1, epoch: s.epoch + 1, ends: map[string]time.Time{}}
 		}
--- a/core/lease/state.go
+++ b/core/lease/state.go
@@ -41,6 +41,7 @@
 	own            [member.ShardCount]*ownClaim
 	epoch          uint64
 	reachable      int // VMs in contact, this one included
+	stall          stall
 	dirty          member.ShardSet
 	seats          int // of the list; 0: the VMs are ranked for each shard separately
 	claimMemo      claimMemo
@@ -261,13 +262,14 @@
 	if s.list == nil {
 		return nil
 	}
-	s.reachable = 0
+	inContact := 0
 	for i, cl := range s.claimants {
 		cl.inContact = statuses[i].InContact
 		if cl.inContact {
-			s.reachable++
+			inContact++
 		}
 	}
+	s.reachable = s.stall.update(s.reachable, inContact, s.cfg.FastHeartbeats.Timeout, now)
 	s.endStartWait(statuses, now)
 	s.updateVacancies(now)
 	s.claimMemo.valid = false
