soak: the check of service counts the requests that are sent during it

Those failures that can be dated were sent 2.1 to 5.9 s before they ended, within the pause of VM 2 from 10.61 s to 14.46 s; the check began at 16.4 s or later. So they were not without faults, and their refusals were honest (not run).

The check counted answers by when they came. That was wrong in both directions: it counted requests sent during faults, and it missed requests sent during the check that had no answer at its end, however long they hung. It now takes all requests that begin during the check, waits for each of them, and asks for the same 95%; the same holds for the wait until callers are served (30 s, unchanged). Requests before it count as they did in all other checks.

TestServiceCheckCountsRequestsSentDuringIt has the five cases (served and failed, during and after the check, sent before it); it replaces the case of failing requests in TestFaultFreeChecksDetectViolations.

--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -43,6 +43,11 @@
 	readyTimeout = 30 * time.Second
 	// faultFreePeriod is how long the answers of callers are checked without faults.
 	faultFreePeriod = 3 * time.Second
+	// answerTimeout bounds the wait for the answers to the requests of a check. It is longer
+	// than the timeout of callers.
+	answerTimeout = 15 * time.Second
+	// answerPoll is the time between two looks for these answers.
+	answerPoll = 10 * time.Millisecond
 	// minSuccessShare is the least share of successful answers without faults.
 	minSuccessShare = 0.95
 	// gracefulStops is the number of VMs that are stopped gracefully, one after the
@@ -122,42 +127,54 @@
 func (tb *testbed) awaitHealthy(t *testing.T) {
 	for end := time.Now().Add(readyTimeout); !tb.isServing(time.Second, minSuccessShare); {
 		if time.Now().After(end) {
-			t.Fatalf("callers not served within %v: %v", readyTimeout, tb.failedSince(end.Add(-faultFreePeriod)))
+			t.Fatalf("callers not served within %v: %v", readyTimeout, tb.failedSince(end.Add(-answerTimeout)))
 		}
 	}
 }
 
-// isServing reports whether the workspaces within their rate get at least the given
-// share of successful answers during some time.
+// isServing reports whether, of the requests that the workspaces within their rate send
+// during some time, at least the given share gets a successful answer. Requests sent before
+// do not count, because faults that have ended may still affect them.
 func (tb *testbed) isServing(during time.Duration, share float64) bool {
-	sent, good := tb.withinRate()
+	from := time.Now()
 	time.Sleep(during)
-	sentNow, goodNow := tb.withinRate()
-	return sentNow > sent && float64(goodNow-good) >= share*float64(sentNow-sent)
+	to := time.Now()
+	c := tb.withinRate(from, to)
+	for ; c.running > 0; c = tb.withinRate(from, to) {
+		if time.Since(to) > answerTimeout {
+			return false
+		}
+		time.Sleep(answerPoll)
+	}
+	return c.sent > 0 && float64(c.succeeded) >= share*float64(c.sent)
 }
 
-// withinRate returns the counts of requests and of successful answers, over all
-// workspaces within their rate: all but the first.
-func (tb *testbed) withinRate() (sent, good int) {
+// withinRate counts the requests that began from one time until another, over all workspaces
+// within their rate: all but the first.
+func (tb *testbed) withinRate(from, to time.Time) serviceCount {
+	var all serviceCount
 	for _, ws := range tb.deployment.Workspaces[1:] {
-		s, g := tb.results.counts(ws.ID)
-		sent, good = sent+s, good+g
+		c := tb.results.countBetween(ws.ID, from, to)
+		all.sent, all.succeeded, all.running = all.sent+c.sent, all.succeeded+c.succeeded, all.running+c.running
 	}
-	return sent, good
+	return all
 }
 
 // checkFaultFreeService checks the share of successful answers without faults.
 func (tb *testbed) checkFaultFreeService(t *testing.T) {
 	began := time.Now()
 	if !tb.isServing(faultFreePeriod, minSuccessShare) {
-		t.Errorf("service: less than %.0f%% successful answers in %v without faults: %v", 100*minSuccessShare, faultFreePeriod, tb.failedSince(began))
+		t.Errorf("service: less than %.0f%% successful answers to the requests of %v without faults: %v", 100*minSuccessShare, faultFreePeriod, tb.failedSince(began))
 	}
 }
 
-// failedSince returns the requests within their rate that have failed since a time.
+// failedSince returns the requests within their rate that were sent since a time and have failed.
 func (tb *testbed) failedSince(since time.Time) []string {
-	overloaded := tb.deployment.Workspaces[0].ID
-	return tb.results.details(func(f failedRequest) bool { return f.workspace != overloaded && f.ended.After(since) })
+	within := tb.deployment.Workspaces[1:]
+	return tb.results.details(func(f failedRequest) bool {
+		isWithin := slices.ContainsFunc(within, func(ws deployment.WorkspaceSpec) bool { return ws.ID == f.workspace })
+		return isWithin && !f.began.Before(since)
+	})
 }
 
 // checkGracefulStops stops VMs gracefully in turn, without other faults, while callers
@@ -216,7 +233,7 @@
 	published := time.Now()
 	time.Sleep(applyTimeout)
 	workspace := doc.Workspaces[last].ID
-	_, good := tb.results.counts(workspace)
+	good := tb.results.successes(workspace)
 	time.Sleep(faultFreePeriod)
 	tb.reportProblem(t, tb.revokedKeyUsed(workspace, good))
 	tb.reportProblem(t, tb.domainUsedAfter(domain, published))
@@ -225,7 +242,7 @@
 // revokedKeyUsed returns a problem if a workspace whose key is revoked has more
 // successful answers than it had applyTimeout after the revocation; empty for none.
 func (tb *testbed) revokedKeyUsed(workspace string, good int) string {
-	if _, now := tb.results.counts(workspace); now > good {
+	if now := tb.results.successes(workspace); now > good {
 		return fmt.Sprintf("key: %d successful answers with a key that was revoked more than %v before", now-good, applyTimeout)
 	}
 	return ""
--- a/cmd/soak/testbed_test.go
+++ b/cmd/soak/testbed_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -90,81 +89,6 @@
 	faultsBegan, faultsEnd time.Time
 }
 
-// callerResults counts the results of callers by workspace. It is safe for concurrent
-// use.
-type callerResults struct {
-	mu         sync.Mutex
-	sent       map[string]int
-	succeeded  map[string]int
-	mismatched []string
-	failed     []failedRequest
-}
-
-// failedRequest is a request without a successful answer.
-type failedRequest struct {
-	workspace    string
-	began, ended time.Time
-	// incomplete is true if the answer was truncated or missing.
-	incomplete bool
-	detail     string
-}
-
-func newCallerResults() *callerResults {
-	return &callerResults{sent: map[string]int{}, succeeded: map[string]int{}}
-}
-
-// record counts a result and checks that a successful answer repeats the path and the
-// workspace of its request.
-func (s *callerResults) record(workspace string, r load.Request, res load.Result) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sent[workspace]++
-	if !res.OK() {
-		s.failed = append(s.failed, newFailedRequest(workspace, r, res))
-		return
-	}
-	s.succeeded[workspace]++
-	if !strings.Contains(res.Body, `"path":"`+r.Path+`"`) || !strings.Contains(res.Body, workspace) {
-		s.mismatched = append(s.mismatched, r.Path)
-	}
-}
-
-func newFailedRequest(workspace string, r load.Request, res load.Result) failedRequest {
-	now := time.Now()
-	return failedRequest{
-		workspace: workspace, began: now.Add(-res.Elapsed), ended: now,
-		// A caller that got no address has not sent the request.
-		incomplete: res.Broken && res.Kind != "no_address",
-		detail:     fmt.Sprintf("%s %s after %v, status %d %s", r.Method, r.Path, res.Elapsed.Round(time.Millisecond), res.Status, res.Kind),
-	}
-}
-
-// counts returns the numbers of requests and of successful answers of a workspace.
-func (s *callerResults) counts(workspace string) (sent, good int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.sent[workspace], s.succeeded[workspace]
-}
-
-// incompleteSince returns the truncated or missing answers to requests sent since a
-// time. Earlier requests may have been affected by a fault that has ended.
-func (s *callerResults) incompleteSince(since time.Time) []string {
-	return s.details(func(f failedRequest) bool { return f.incomplete && !f.began.Before(since) })
-}
-
-// details returns the details of the failed requests that match.
-func (s *callerResults) details(matches func(failedRequest) bool) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var details []string
-	for _, f := range s.failed {
-		if matches(f) {
-			details = append(details, f.detail)
-		}
-	}
-	return details
-}
-
 // startTestbed starts targets, platform, VMs and callers. Logs and settings are written
 // to dir.
 func startTestbed(t *testing.T, dir string, vms int, seed uint64) *testbed {
@@ -296,7 +220,11 @@
 		caller := load.NewCaller(ws.Key(), addresses)
 		stream := &load.Stream{
 			Caller: caller, Rate: ws.Rate * factor, Stats: load.NewStats(),
-			NextRequest: func(n int) load.Request { return tb.request(ws.ID, n) },
+			NextRequest: func(n int) load.Request {
+				r := tb.request(ws.ID, n)
+				tb.results.begin(ws.ID, r)
+				return r
+			},
 			Observe: func(r load.Request, res load.Result) {
 				tb.ledger.RecordNotRun(r, res)
 				tb.results.record(ws.ID, r, res)
--- a/cmd/soak/violations_test.go
+++ b/cmd/soak/violations_test.go
@@ -86,8 +86,9 @@
 }
 
 // Guards against fault-free checks that never fail: they must detect a truncated answer
-// around a graceful stop, a successful answer for a revoked key, a request started in a
-// failure domain that is out of service, and failing requests without a fault.
+// around a graceful stop, a successful answer for a revoked key, and a request started in a
+// failure domain that is out of service. For failing requests without a fault see
+// TestServiceCheckCountsRequestsSentDuringIt.
 func TestFaultFreeChecksDetectViolations(t *testing.T) {
 	tb := newIdleTestbed()
 	get := load.Request{Method: http.MethodGet, Path: "/citas/clinic-2/0"}
@@ -110,13 +111,47 @@
 			t.Errorf("check %d: got no problem, want one", i)
 		}
 	}
-	go func() {
-		for range 20 {
-			time.Sleep(10 * time.Millisecond)
-			tb.results.record("clinic-2", get, bad)
-		}
-	}()
-	if tb.isServing(100*time.Millisecond, minSuccessShare) {
-		t.Error("isServing: got true with failing requests only, want false")
+}
+
+// Guards against a check of service that misses requests without an answer until the check
+// ends, and against one that counts requests sent before it, during faults.
+func TestServiceCheckCountsRequestsSentDuringIt(t *testing.T) {
+	good := load.Result{Status: http.StatusOK, Body: `{"path":"/citas/clinic-2/0","workspace":"clinic-2"}`}
+	bad := load.Result{Status: http.StatusBadGateway}
+	const during = 20 * time.Millisecond
+	for _, c := range []struct {
+		name        string
+		sentBefore  bool
+		answerAfter time.Duration
+		result      load.Result
+		want        bool
+	}{
+		{"served", false, during / 2, good, true},
+		{"failed", false, during / 2, bad, false},
+		{"served after the check", false, 4 * during, good, true},
+		{"failed after the check", false, 4 * during, bad, false},
+		{"failed, sent before the check", true, during / 2, bad, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tb := newIdleTestbed()
+			other := load.Request{Method: http.MethodGet, Path: "/citas/clinic-2/0"}
+			checked := load.Request{Method: http.MethodGet, Path: "/citas/clinic-2/1"}
+			if c.sentBefore {
+				tb.results.begin("clinic-2", checked)
+			}
+			go func() {
+				time.Sleep(during / 4)
+				tb.results.begin("clinic-2", other)
+				tb.results.record("clinic-2", other, good)
+				if !c.sentBefore {
+					tb.results.begin("clinic-2", checked)
+				}
+				time.Sleep(c.answerAfter)
+				tb.results.record("clinic-2", checked, c.result)
+			}()
+			if got := tb.isServing(during, minSuccessShare); got != c.want {
+				t.Errorf("got %t, want %t", got, c.want)
+			}
+		})
 	}
 }
