pool: a release confirmed by the former holder reaches the new one as well

Cause: an entry VM lists an ended permit in its reports until a holder has confirmed the release. When a report to a new holder is built while the confirmation of the former one is on its way, the new holder adopts the permit, the entry VM drops it, and the slot stays in use until the deadline of the permit (the route's timeout and 0.5 s), or until the next report.

A confirmation now counts only if no report was built since the call began; otherwise the releases are sent again to the present holder after 250 ms. A release that arrives twice has no effect.

--- a/node/pool/calls.go
+++ b/node/pool/calls.go
@@ -61,7 +61,7 @@
 		c.recordFailure(r.Releases)
 		return nil
 	}
-	c.confirmReleases(r.Releases, resp.Holder && !resp.Report)
+	c.confirmReleases(r.Releases, r.Generation, resp.Holder && !resp.Report)
 	if !resp.Holder {
 		if c.withoutHolder(time.Now()) {
 			return p.acquireDegraded(c, q)
@@ -134,11 +134,13 @@
 
 // confirmReleases drops the ended permits whose outcomes the holder has
 // processed. If it has not processed them, their releases are queued again: a
-// holder without a report from this VM does not know the permits.
-func (c *groupClient) confirmReleases(releases []*peerv1.PermitRelease, processed bool) {
+// holder without a report from this VM does not know the permits. The same goes
+// for releases of a call that began before the last report, which may have
+// listed the permits to another holder.
+func (c *groupClient) confirmReleases(releases []*peerv1.PermitRelease, generation uint32, processed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !processed {
+	if !processed || generation != c.generation {
 		c.requeue(releases)
 		return
 	}
@@ -217,7 +219,7 @@
 	r, _ := c.newExchange()
 	vm, ok := p.config.Ownership.Holder(c.shard)
 	if !ok {
-		c.confirmReleases(r.Releases, false)
+		c.confirmReleases(r.Releases, r.Generation, false)
 		return
 	}
 	r.BaselineUs = uint64(p.baseline(c.service).value().Microseconds())
@@ -229,7 +231,7 @@
 		c.recordFailure(r.Releases)
 		return
 	}
-	c.confirmReleases(r.Releases, resp.Holder && !resp.Report)
+	c.confirmReleases(r.Releases, r.Generation, resp.Holder && !resp.Report)
 	if resp.Holder {
 		c.mu.Lock()
 		c.recordResponse(resp, call, time.Now())
--- a/node/pool/failure_test.go
+++ b/node/pool/failure_test.go
@@ -267,6 +267,61 @@
 	}
 }
 
+// slowPeer delays the responses to calls with releases until they may arrive, once it is slow.
+type slowPeer struct {
+	PermitPeer
+	slow                 atomic.Bool
+	processed, mayArrive chan bool
+}
+
+func (s *slowPeer) ExchangePermits(ctx context.Context, vm member.VM, r *peerv1.ExchangePermitsRequest) (*peerv1.ExchangePermitsResponse, error) {
+	resp, err := s.PermitPeer.ExchangePermits(ctx, vm, r)
+	if s.slow.Load() && r.Acquire == nil && len(r.Releases) > 0 {
+		s.processed <- true
+		<-s.mayArrive
+	}
+	return resp, err
+}
+
+// Guards against a slot that stays in use at a new holder until the deadline of its permit: a
+// report listed the permit while the former holder's confirmation of its end was on the way.
+func TestReleaseConfirmedByFormerHolderReachesNewOne(t *testing.T) {
+	s := &slowPeer{processed: make(chan bool, 16), mayArrive: make(chan bool)}
+	c := newConfiguredCell(t, 3, service(1), func(config *Config) {
+		if config.Identity.VM.ID == "vm-01" {
+			s.PermitPeer, config.Peer = config.Peer, s
+		}
+	})
+	c.awaitReports(1)
+	s.slow.Store(true)
+	c.mustAcquire(1).Release(node.OutcomeError, time.Millisecond)
+	<-s.processed
+	c.setHolder(2)
+	c.await(time.Second, "the new holder counts the permit", func() bool { return c.inUse(2) == 1 })
+	close(s.mayArrive)
+	c.await(time.Second, "the slot is free at the new holder", func() bool { return c.inUse(2) == 0 })
+}
+
+// inUse returns the slots in use by the state of the first target at a VM, -1 when the VM is not
+// its holder.
+func (c *testCell) inUse(vm int) int {
+	st := c.pools[vm].State(context.Background())
+	if len(st) == 0 {
+		return -1
+	}
+	return st[0].Targets[0].InUse
+}
+
+// await fails the test unless something happens within the given time.
+func (c *testCell) await(within time.Duration, what string, happened func() bool) {
+	c.t.Helper()
+	for begin := time.Now(); !happened(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(begin) > within {
+			c.t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
 // Guards against a deadlock of all requests of a VM: a report that takes the lock of a client
 // while it holds that of the entry, while a permit of degraded mode takes them the other way
 // round.
