--- a/cmd/internal/deployment/deployment.go
+++ b/cmd/internal/deployment/deployment.go
@@ -3,10 +3,7 @@
 package deployment
 
 import (
-	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 
 	"github.com/galenasail/galenasail/core/document"
 	"github.com/galenasail/galenasail/core/member"
@@ -224,37 +221,3 @@
 func (p Ports) AdminAddress(i int) string {
 	return loopbackAddress(p.Admin + i)
 }
-
-// Layout of randomly chosen ports, for fleets that run at the same time on one machine:
-// one of portBlocks consecutive blocks, which start at firstBlockPort, is divided into
-// portsPerKind ports for each of the four kinds of address.
-const (
-	portsPerKind   = 64
-	firstBlockPort = 10000
-	portBlocks     = 80
-)
-
-// FreePorts returns four ranges of 64 ports below the ephemeral port range of Linux, all
-// of which were free when checked. Another process can still take them before they are
-// used. It returns an error if no random block was free in 80 attempts.
-func FreePorts() (Ports, error) {
-	for range portBlocks {
-		base := firstBlockPort + rand.IntN(portBlocks)*4*portsPerKind
-		if portsFree(base, 4*portsPerKind) {
-			return Ports{Caller: base, Peer: base + portsPerKind, Admin: base + 2*portsPerKind, Target: base + 3*portsPerKind}, nil
-		}
-	}
-	return Ports{}, errors.New("found no free block of 256 consecutive ports in 80 attempts")
-}
-
-// portsFree reports whether count loopback ports from first on can all be opened.
-func portsFree(first, count int) bool {
-	for port := first; port < first+count; port++ {
-		l, err := net.Listen("tcp", loopbackAddress(port))
-		if err != nil {
-			return false
-		}
-		_ = l.Close()
-	}
-	return true
-}
