command: the route is that of the path that the target receives

Cause: the path was read three times. Routes, the repeated check whether the request is idempotent and the fingerprint of the quarantine used the decoded path, the target got it as it was sent.

requestPath in path.go is now the only place where the path is read: what the target receives, byte for byte, compared with prefixes without decoding, as the users' page says ("the longest Prefix that begins the path"; the path is forwarded unchanged). The explained request and the address queries use it as well. The check for dot segments decodes as before; it only refuses.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -151,7 +151,8 @@
 type Route struct {
 	// ID is unique in the configuration.
 	ID string `json:"id"`
-	// PathPrefix matches the start of the path; it begins with a slash.
+	// PathPrefix matches the start of the path, byte by byte, as callers send it: an escaped
+	// character is not decoded. It begins with a slash.
 	PathPrefix string `json:"pathPrefix"`
 	// Methods lists the methods; empty means all.
 	Methods []string `json:"methods"`
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -45,7 +45,8 @@
 
 // Match returns the route for a request. Among the routes of its host, or else among
 // those without a host, it is the route with the longest prefix of path that allows
-// method. A port in host is ignored.
+// method. Path is the path as it is sent to the target; prefixes are compared with it byte by
+// byte, without decoding. A port in host is ignored.
 func (ix *Index) Match(host, method, path string) (*document.Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
@@ -63,7 +64,7 @@
 
 // match returns the route with the longest prefix of path that allows method.
 // A prefix matches at segment boundaries only: /a matches /a and /a/b, but not /ab,
-// and /a/ matches /a/b, but not /a. Path is the decoded path.
+// and /a/ matches /a/b, but not /a.
 func (ix *hostIndex) match(method, path string) (*document.Route, bool) {
 	if path == "" || path[0] != '/' {
 		return nil, false
--- a/node/command/admit.go
+++ b/node/command/admit.go
@@ -34,7 +34,7 @@
 	if err := validateRequest(ex.r); err != nil {
 		return err
 	}
-	rt, ok := current.routes.Match(ex.r.Host, ex.r.Method, ex.r.URL.Path)
+	rt, ok := current.routes.Match(ex.r.Host, ex.r.Method, requestPath(ex.r))
 	if !ok {
 		return errNoRoute()
 	}
@@ -100,17 +100,12 @@
 	if strings.Contains(r.RequestURI, " ") {
 		return fault.New(fault.BadRequest, "the request target contains a space")
 	}
-	// A target may resolve dot segments and serve a path outside the route's prefix.
-	if slices.ContainsFunc(strings.Split(r.URL.Path, "/"), isDotSegment) {
+	if hasDotSegment(r) {
 		return fault.New(fault.BadRequest, "the path contains a dot segment")
 	}
 	return nil
 }
 
-func isDotSegment(s string) bool {
-	return s == "." || s == ".."
-}
-
 // authenticate finds the workspace of the caller's key and checks that it may use
 // the route. On an open route a missing or unknown key is not an error.
 func (ex *exchange) authenticate() error {
--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -8,9 +8,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -138,17 +136,8 @@
 		header[name] = []string{a.permit.Target().ID}
 	}
 	req := &http.Request{
-		Method: ex.r.Method,
-		URL: &url.URL{
-			Scheme:   "http",
-			Host:     a.permit.Target().Address,
-			Path:     ex.r.URL.Path,
-			RawPath:  ex.r.URL.RawPath,
-			RawQuery: ex.query,
-
-			ForceQuery: ex.r.URL.ForceQuery,
-			Opaque:     sentPath(ex.r),
-		},
+		Method:     ex.r.Method,
+		URL:        targetURL(ex.r, a.permit.Target().Address, ex.query),
 		Host:       ex.r.Host,
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
@@ -159,16 +148,6 @@
 	return req.WithContext(a.withConnTrace(a.ctx))
 }
 
-// sentPath returns the path of r as the caller sent it; empty where net/http cannot send it
-// unchanged, as in the absolute form.
-func sentPath(r *http.Request) string {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
-		return ""
-	}
-	return path
-}
-
 // setBody sets the body of req to the caller's body, from its start.
 func (a *attempt) setBody(req *http.Request) {
 	b := a.exchange.body
--- a/node/command/explain.go
+++ b/node/command/explain.go
@@ -36,7 +36,7 @@
 	}
 	e.refuse(explain.StepRequest, validateRequest(r))
 	e.findWorkspace(current.snapshot, workspace)
-	if r.URL.Path == wire.AddressesPath && h.cfg.Addresses != nil {
+	if requestPath(r) == wire.AddressesPath && h.cfg.Addresses != nil {
 		e.note("the VM answers this path itself")
 		return e.Decision
 	}
@@ -85,7 +85,7 @@
 
 // findRoute sets the route, its service and what follows from them.
 func (e *explanation) findRoute(current *routeIndex) {
-	rt, ok := current.routes.Match(e.r.Host, e.r.Method, e.r.URL.Path)
+	rt, ok := current.routes.Match(e.r.Host, e.r.Method, requestPath(e.r))
 	if !ok {
 		if e.r.Host == "" {
 			e.note("without a host in the URL only routes for all hosts match")
@@ -111,7 +111,7 @@
 	e.Admission.Service = explainService(rt, service)
 	e.Permit = e.permitRequest(rt, service, idempotent)
 	e.Quarantine = explain.NewRefusal(explain.StepQuarantine, e.h.quarantine.explain(
-		poison.Fingerprint(e.Permit.Workspace, e.r.Method, e.r.URL.Path, 0, nil)))
+		poison.Fingerprint(e.Permit.Workspace, e.r.Method, requestPath(e.r), 0, nil)))
 }
 
 func explainService(rt *document.Route, s *document.Service) *explain.Service {
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -245,7 +245,7 @@
 	if current == nil || current.snapshot == ex.snapshot {
 		return true
 	}
-	rt, ok := current.routes.Match(ex.r.Host, ex.r.Method, ex.r.URL.Path)
+	rt, ok := current.routes.Match(ex.r.Host, ex.r.Method, requestPath(ex.r))
 	return !ok || isIdempotent(rt, ex.r.Method)
 }
 
--- a/node/command/handler.go
+++ b/node/command/handler.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	defer ex.body.detach()
-	ex.fingerprint = poison.Fingerprint(ex.workspaceID(), ex.r.Method, ex.r.URL.Path, ex.body.length, ex.body.prefix)
+	ex.fingerprint = poison.Fingerprint(ex.workspaceID(), ex.r.Method, requestPath(ex.r), ex.body.length, ex.body.prefix)
 	if ex.idempotencyKey != "" {
 		return ex.runIdempotent()
 	}
--- a/node/command/scrub.go
+++ b/node/command/scrub.go
@@ -49,7 +49,7 @@
 // keyInRequestLine reports whether the method, host or path contains the key. The key
 // cannot be removed from these parts.
 func keyInRequestLine(r *http.Request, key string) bool {
-	return containsKey(r.Method, key) || containsKey(r.Host, key) || containsKey(r.URL.EscapedPath(), key)
+	return containsKey(r.Method, key) || containsKey(r.Host, key) || containsKey(requestPath(r), key)
 }
 
 // endToEndHeader returns a copy of h without hop-by-hop headers and without the headers
--- a/node/command/server.go
+++ b/node/command/server.go
@@ -91,7 +91,7 @@
 		addresses = limit.Requests(h)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == wire.AddressesPath && addresses != nil {
+		if requestPath(r) == wire.AddressesPath && addresses != nil {
 			// This call fails only on writers without a connection, as in tests.
 			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
 			addresses.ServeHTTP(w, r)
