membudget: a connection whose request a target may be running stays open

Cause: without room the newest connection of the holder that holds most is closed. Requests at targets came last only within that holder, so a workspace with 36 MB at targets lost one for each demand of others with 12 MB each. A request that waits for a target and one that runs were the same phase.

The account counts the requests that a target may be running, from just before the first byte until the target has said that it did not run. Such an account makes no room unless its caller is stalled; holders without another one are passed over, and the requester is refused if only smaller holders are left. Idle connections of a holder go first. An attempt whose connection was closed before is not written.

TestEvictedCallerCountsAsDisconnected asserted that the request of an evicted connection ends at its target, and evicted one that was running there, which is the fault. It now evicts a request that waits for a target; TestEvictedCallerEndsItsRequestAtTheTarget evicts one at a target whose caller is stalled, and TestNewcomerIsRefusedBeforeARequestAtATarget asserts the new rule with the same limits.

--- a/core/membudget/budget.go
+++ b/core/membudget/budget.go
@@ -3,8 +3,9 @@
 //
 // Each connection has an account. A holder is an address or a workspace with its connections;
 // it is no holder of a lease. When a limit is reached, the connections that have made no
-// progress for longest are closed first, then the newest ones of the holder that holds most.
-// Time is passed in; the package is not safe for concurrent use.
+// progress for longest are closed first, then the newest ones of the holder that holds most,
+// but none with a request that a target may be running: its caller could not tell whether it
+// ran. Time is passed in; the package is not safe for concurrent use.
 package membudget
 
 import "time"
@@ -58,6 +59,8 @@
 	phase    Phase
 	progress time.Time
 	closed   bool
+	// atTargets is the number of requests of the connection that a target may be running.
+	atTargets int
 }
 
 // Closed reports whether the account was closed, for example to make room for others.
@@ -208,6 +211,16 @@
 	a.phase, a.progress = p, now
 }
 
+// AtTargets adds n to the number of requests of the connection that a target may be running. ok
+// is false, and nothing is added, if the account is closed.
+func (b *Budget) AtTargets(a *Account, n int) (ok bool) {
+	if a.closed {
+		return false
+	}
+	a.atTargets += n
+	return true
+}
+
 // Assign moves an account with its bytes to the named holder, for example from an address to
 // a workspace once the request is authenticated.
 func (b *Budget) Assign(a *Account, name string) {
--- a/core/membudget/budget_test.go
+++ b/core/membudget/budget_test.go
@@ -118,6 +118,68 @@
 	}
 }
 
+// Guards against a request that a target runs, and whose connection is closed for a crowd of
+// other holders, each of which holds less.
+func TestRequestAtATargetIsNotClosed(t *testing.T) {
+	for name, limits := range map[string]Limits{"bytes": {Bytes: 100, Connections: 100}, "connections": {Bytes: 1000, Connections: 10}} {
+		b := New(limits)
+		var atTargets []*Account
+		for range 5 {
+			a := open(t, b, "ordinary", 10, start)
+			b.Progress(a, Running, start)
+			b.AtTargets(a, 1)
+			atTargets = append(atTargets, a)
+		}
+		served := 0
+		for i := range 60 {
+			if a, _, ok := b.Open(fmt.Sprint("crowd ", i%5), 10, start); ok {
+				b.Progress(a, Running, start)
+				served++
+			}
+		}
+		for _, a := range atTargets {
+			if a.Closed() {
+				t.Errorf("%s: a request at a target was closed", name)
+			}
+		}
+		if served < 5 {
+			t.Errorf("%s: %d connections of the crowd were served, want those for which there is room", name, served)
+		}
+	}
+}
+
+// Guards against requests at targets that keep out all others after they have ended, and against
+// one that begins although its connection is closed.
+func TestRequestAtATargetEnds(t *testing.T) {
+	b := New(Limits{Bytes: 100, Connections: 10})
+	a := open(t, b, "x", 90, start)
+	if !b.AtTargets(a, 1) {
+		t.Error("a request of an open account was not counted")
+	}
+	if _, _, ok := b.Open("y", 20, start); ok || a.Closed() {
+		t.Error("a request at a target made room")
+	}
+	b.AtTargets(a, -1)
+	if _, _, ok := b.Open("y", 20, start); !ok || !a.Closed() {
+		t.Error("a request that has ended made no room")
+	}
+	if b.AtTargets(a, 1) {
+		t.Error("a request of a closed account was counted")
+	}
+}
+
+// Guards against an ordinary request that is closed while the same holder has an idle connection.
+func TestIdleConnectionIsClosedFirst(t *testing.T) {
+	b := New(Limits{Bytes: 100, Connections: 10})
+	idle, reading := open(t, b, "flood", 40, start), open(t, b, "flood", 40, start)
+	b.Progress(idle, Idle, start)
+	b.Progress(reading, Body, start)
+	open(t, b, "small", 30, start)
+	if !idle.Closed() || reading.Closed() {
+		t.Errorf("idle closed %v, reading closed %v", idle.Closed(), reading.Closed())
+	}
+}
+
 // Guards against bytes in use that are not counted, or that a closed account keeps.
 func TestHoldExceedsTheLimit(t *testing.T) {
 	b := New(Limits{Bytes: 10, Connections: 1})
@@ -163,7 +225,7 @@
 				}
 			} else {
 				requester = accounts[rapid.IntRange(0, len(accounts)-1).Draw(t, "account")]
-				switch rapid.IntRange(0, 3).Draw(t, "action") {
+				switch rapid.IntRange(0, 4).Draw(t, "action") {
 				case 0:
 					demanding = requester.holder.name
 					evicted, _ = b.Charge(requester, bytes, now)
@@ -173,12 +235,17 @@
 					b.Close(requester)
 				case 3:
 					b.Progress(requester, Phase(rapid.IntRange(0, int(Unproven)).Draw(t, "phase")), now)
+				case 4:
+					b.AtTargets(requester, 1)
 				}
 			}
 			for _, a := range evicted {
 				if a == requester {
 					t.Fatal("the requester was closed to make room for itself")
 				}
+				if progressing[a] && a.atTargets > 0 {
+					t.Fatal("a connection with a request at a target was closed")
+				}
 				full := len(held)+1 > limits.Connections
 				needed := held[a]
 				if a.holder.name == demanding {
--- a/core/membudget/evict.go
+++ b/core/membudget/evict.go
@@ -32,7 +32,7 @@
 	}
 	evicted, ok = b.evictStalled(requester, d, now)
 	for !ok {
-		victim := b.newestOfLargest(requester, d)
+		victim := b.chooseVictim(requester, d)
 		if victim == requester {
 			return evicted, false
 		}
@@ -77,30 +77,43 @@
 	return now.Sub(a.progress) > activeGrace
 }
 
-// newestOfLargest returns the newest account of the holder that holds most, counting d for
-// the requester's holder. Accounts whose request is at a target come last. The result is the
-// requester if its holder is the largest and has no newer account to close.
-func (b *Budget) newestOfLargest(requester *Account, d demand) *Account {
+// chooseVictim returns the account to close for d: the newest one of the holder that holds most,
+// among the accounts without a request at a target and the holders that hold more than the
+// requester's with d. The result is the requester if there is none and its own holder has no
+// newer account to close.
+func (b *Budget) chooseVictim(requester *Account, d demand) *Account {
 	byConnections := len(b.accounts)+d.connections > b.limits.Connections
-	largest := requester.holder
-	most := weight(largest, byConnections, d.bytes)
-	for _, h := range b.holders {
-		if w := weight(h, byConnections, 0); h != requester.holder && (w > most || w == most && h.name < largest.name && largest != requester.holder) {
+	newest := b.newestOfHolders(requester)
+	largest, most := requester.holder, weight(requester.holder, byConnections, d.bytes)
+	for h, a := range newest {
+		w := weight(h, byConnections, 0)
+		tied := w == most && largest != requester.holder && h.name < largest.name
+		if a.holder != requester.holder && (w > most || tied) {
 			largest, most = h, w
 		}
 	}
-	var victim *Account
-	for _, a := range b.accounts {
-		if a.holder == largest && a != requester && (victim == nil || a.newerThan(victim)) {
-			victim = a
-		}
-	}
+	victim := newest[largest]
 	if victim == nil || largest == requester.holder && (victim.phase == Running || victim.number < requester.number) {
 		return requester
 	}
 	return victim
 }
 
+// newestOfHolders returns, for each holder, the account to close first. It leaves out the
+// requester and the accounts with a request at a target.
+func (b *Budget) newestOfHolders(requester *Account) map[*holder]*Account {
+	newest := map[*holder]*Account{}
+	for _, a := range b.accounts {
+		if a == requester || a.atTargets > 0 {
+			continue
+		}
+		if other := newest[a.holder]; other == nil || a.closesBefore(other) {
+			newest[a.holder] = a
+		}
+	}
+	return newest
+}
+
 // weight returns what h holds, in connections or in bytes, including an additional demand.
 // A requester is already counted in its holder's connections.
 func weight(h *holder, byConnections bool, demand int64) int64 {
@@ -110,10 +123,22 @@
 	return h.bytes + demand
 }
 
-// newerThan reports whether a is closed before other if both have the same holder.
-func (a *Account) newerThan(other *Account) bool {
-	if (a.phase == Running) != (other.phase == Running) {
-		return other.phase == Running
+// closesBefore reports whether a is closed before other if both have the same holder: idle ones
+// first, those with a complete request last, then the newer one.
+func (a *Account) closesBefore(other *Account) bool {
+	if x, y := a.phase.cost(), other.phase.cost(); x != y {
+		return x < y
 	}
 	return a.number > other.number
 }
+
+// cost ranks the phases by what the caller loses when its connection is closed.
+func (p Phase) cost() int {
+	switch p {
+	case Idle, Unproven:
+		return 0
+	case Running:
+		return 2
+	}
+	return 1
+}
--- a/node/command/attempt.go
+++ b/node/command/attempt.go
@@ -311,17 +311,29 @@
 	ex := a.exchange
 	a.sentUnder.Store(ex.h.cfg.Configs.Snapshot().Ticket())
 	if !a.sent {
+		if !ex.held.BeginAttempt() {
+			return fault.New(fault.Overloaded, "the connection of the caller was closed")
+		}
 		a.sent = true
 		ex.sent.Add(1)
 	}
 	if ex.sent.Load() > 1 && !ex.stillIdempotent() {
-		a.sent = false
-		ex.sent.Add(-1)
+		a.takeBackSent()
 		return fault.New(fault.OutcomeUnknown, "the route is no longer idempotent and another attempt may have run")
 	}
 	return nil
 }
 
+// takeBackSent takes back what countSent has counted, for an attempt that did not run.
+func (a *attempt) takeBackSent() {
+	if !a.sent {
+		return
+	}
+	a.sent = false
+	a.exchange.sent.Add(-1)
+	a.exchange.held.EndAttempt()
+}
+
 // recheckAdmission repeats the admission checks whose result may have changed since
 // admit. A VM that began to shut down in the meantime still completes the request.
 func (ex *exchange) recheckAdmission() error {
--- a/node/command/forward.go
+++ b/node/command/forward.go
@@ -170,9 +170,7 @@
 	ex.ran = max(ex.ran, f.ran)
 	if f.ran == fault.RanNo {
 		ex.possibleRuns--
-		if a.sent {
-			ex.sent.Add(-1)
-		}
+		a.takeBackSent()
 	}
 	if f.ran != fault.RanNo || f.arrived {
 		ex.mayHaveArrived = true
--- a/node/command/limits_test.go
+++ b/node/command/limits_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -132,24 +135,88 @@
 	}
 }
 
-// Guards against a request that runs on although its connection was closed to make room.
+// endingPicker reports when an acquire begins to wait, and when it ends with its caller.
+type endingPicker struct {
+	*harness
+	waiting, ended chan bool
+}
+
+func (p endingPicker) Acquire(ctx context.Context, _ node.PermitRequest) (node.Permit, error) {
+	p.waiting <- true
+	<-ctx.Done()
+	p.ended <- true
+	return nil, ctx.Err()
+}
+
+// Guards against a request that waits on for a target, and gets one, although its connection was
+// closed to make room.
 func TestEvictedCallerCountsAsDisconnected(t *testing.T) {
+	f := startHarness(t, func(http.ResponseWriter, *http.Request) { t.Error("the target got the request") })
+	f.bound(smallBounds())
+	p := endingPicker{f, make(chan bool, 4), make(chan bool, 4)}
+	f.handler.cfg.Picker = p
+	for range 2 {
+		write(f.dialCaller(), pipelined("GET", "/get/x", ""))
+		<-p.waiting
+	}
+	f.dialCaller() // a third connection, of an address that holds none
+	select {
+	case <-p.ended:
+	case <-time.After(time.Second):
+		t.Error("no request of the workspace with all connections ended")
+	}
+}
+
+// Guards against a request that runs on at a target although its connection, whose caller sends
+// no more of the body, was closed to make room.
+func TestEvictedCallerEndsItsRequestAtTheTarget(t *testing.T) {
 	started, ended := make(chan bool, 4), make(chan bool, 4)
 	f := startHarness(t, func(_ http.ResponseWriter, r *http.Request) {
 		started <- true
-		<-r.Context().Done()
+		_, _ = io.Copy(io.Discard, r.Body)
 		ended <- true
 	})
-	f.bound(smallBounds())
+	cfg := smallBounds()
+	cfg.Stall = 10 * time.Second
+	f.bound(cfg)
 	for range 2 {
-		write(f.dialCaller(), pipelined("GET", "/get/x", ""))
+		c := f.dialCaller()
+		write(c, "POST /post/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+"\r\nContent-Length: 1000000\r\n\r\n")
+		write(c, strings.Repeat("x", 400_000))
 		<-started
 	}
-	f.dialCaller() // a third connection, of an address that holds none
+	time.Sleep(1200 * time.Millisecond) // longer than a caller may send nothing while others need room
+	f.dialCaller()
 	select {
 	case <-ended:
-	case <-time.After(time.Second):
-		t.Error("no request of the workspace with all connections ended")
+	case <-time.After(500 * time.Millisecond):
+		t.Error("no request of a caller that sends nothing ended")
+	}
+}
+
+// Guards against a newcomer that is served at the cost of a request at a target.
+func TestNewcomerIsRefusedBeforeARequestAtATarget(t *testing.T) {
+	started, release := make(chan bool, 4), make(chan bool)
+	f := startHarness(t, func(_ http.ResponseWriter, r *http.Request) {
+		started <- true
+		<-release
+	})
+	f.bound(smallBounds())
+	callers := []net.Conn{f.dialCaller(), f.dialCaller()}
+	for _, c := range callers {
+		write(c, pipelined("POST", "/post/x", ""))
+		<-started
+	}
+	newcomer := f.dialCaller()
+	_ = newcomer.SetReadDeadline(time.Now().Add(time.Second))
+	if n, err := newcomer.Read(make([]byte, 1)); n > 0 || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the newcomer read %d bytes and %v, want a closed connection", n, err)
+	}
+	close(release)
+	for _, c := range callers {
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("a request at a target ended with %v", err)
+		}
 	}
 }
 
@@ -209,3 +276,49 @@
 		t.Error("the refusal does not close the connection")
 	}
 }
+
+// Guards against a connection that is closed without an answer while a target runs its request:
+// a crowd from several addresses, each of which holds less than the workspace, needs the memory.
+func TestCrowdClosesNoRequestAtATarget(t *testing.T) {
+	const requests, size = 3, 200_000
+	running, release := make(chan bool, requests), make(chan bool)
+	f := startHarness(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/post/x" {
+			running <- true
+			<-release
+		}
+	})
+	f.bound(limit.Config{Limits: membudget.Limits{Bytes: 1 << 20, Connections: 100}, Stall: 300 * time.Millisecond, BodyBuffer: 256 << 10})
+	answers := make(chan answer, requests)
+	for range requests {
+		go func() { answers <- f.do("POST", "/post/x", strings.Repeat("x", size)) }()
+	}
+	for range requests {
+		<-running
+	}
+	for i := range 8 {
+		f.sendUnfinishedBody(t, net.IPv4(127, 0, 0, byte(2+i%4)), size)
+	}
+	close(release)
+	for range requests {
+		if a := <-answers; a.err != nil || a.StatusCode != http.StatusOK {
+			t.Errorf("status %d, error %v, want the answer of the target", a.StatusCode, a.err)
+		}
+	}
+}
+
+// sendUnfinishedBody sends a request on an open route from an address, without the last byte of
+// its body, and keeps the connection open until the test ends.
+func (f *harness) sendUnfinishedBody(t *testing.T, from net.IP, size int) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: from}}
+	c, err := d.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+	// A refused caller cannot write to the end.
+	_, _ = fmt.Fprintf(c, "POST /open/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size-1))
+	time.Sleep(20 * time.Millisecond)
+}
--- a/node/limit/guard.go
+++ b/node/limit/guard.go
@@ -186,6 +186,14 @@
 	g.budget.Progress(c.account, p, now)
 }
 
+// atTargets adds n to the number of requests of c that a target may be running. It reports
+// whether c is still open.
+func (g *Guard) atTargets(c *Conn, n int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.AtTargets(c.account, n)
+}
+
 func (g *Guard) assign(c *Conn, holder string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/limit/request.go
+++ b/node/limit/request.go
@@ -2,15 +2,21 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 )
 
 // Request is what is held for one request. A nil Request is not bounded. The methods may be
-// called by one goroutine at a time.
+// called by one goroutine at a time, except BeginAttempt and EndAttempt, which are safe for
+// concurrent use.
 type Request struct {
 	conn     *Conn
 	held     int64
 	reserved int64 // part of held that is meant for the response
+
+	mu       sync.Mutex
+	attempts int // begun and not ended
+	ended    bool
 }
 
 // Begin charges the connection of r for the request and its header. It returns nil and no
@@ -63,9 +69,48 @@
 	if q != nil {
 		q.conn.guard.release(q.conn, q.held)
 		q.held, q.reserved = 0, 0
+		q.endAttempts()
 	}
 }
 
+// BeginAttempt records that the request is about to be sent to a target. Until EndAttempt or End
+// the connection is not closed to make room for others. ok is false if it is closed already: then
+// the request must not be sent, because its caller cannot get the answer.
+func (q *Request) BeginAttempt() (ok bool) {
+	if q == nil {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.ended || !q.conn.guard.atTargets(q.conn, 1) {
+		return false
+	}
+	q.attempts++
+	return true
+}
+
+// EndAttempt records that a target does not run the request for which BeginAttempt returned
+// true.
+func (q *Request) EndAttempt() {
+	if q == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.attempts > 0 {
+		q.attempts--
+		q.conn.guard.atTargets(q.conn, -1)
+	}
+}
+
+// endAttempts ends all attempts that have begun; no further one may begin.
+func (q *Request) endAttempts() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.conn.guard.atTargets(q.conn, -q.attempts)
+	q.attempts, q.ended = 0, true
+}
+
 // Assign attributes the connection to a workspace.
 func (q *Request) Assign(workspace string) {
 	if q != nil {
