membudget: an older idle connection does not keep a newer one of its holder open

Which accounts may be closed for a requester is now one predicate, mayCloseFor, and the choice among them another.

--- a/core/membudget/budget_test.go
+++ b/core/membudget/budget_test.go
@@ -180,6 +180,17 @@
 	}
 }
 
+// Guards against a request that is refused because its holder has an older idle connection, while
+// a newer one of the same holder could be closed.
+func TestNewerConnectionOfTheSameHolderIsClosed(t *testing.T) {
+	b := New(Limits{Bytes: 100, Connections: 10})
+	idle, requester, newer := open(t, b, "x", 30, start), open(t, b, "x", 30, start), open(t, b, "x", 30, start)
+	b.Progress(idle, Idle, start)
+	if _, ok := b.Charge(requester, 20, start); !ok || idle.Closed() || !newer.Closed() {
+		t.Errorf("granted %v, idle closed %v, newer closed %v", ok, idle.Closed(), newer.Closed())
+	}
+}
+
 // Guards against bytes in use that are not counted, or that a closed account keeps.
 func TestHoldExceedsTheLimit(t *testing.T) {
 	b := New(Limits{Bytes: 10, Connections: 1})
--- a/core/membudget/evict.go
+++ b/core/membudget/evict.go
@@ -77,41 +77,47 @@
 	return now.Sub(a.progress) > activeGrace
 }
 
-// chooseVictim returns the account to close for d: the newest one of the holder that holds most,
-// among the accounts without a request at a target and the holders that hold more than the
-// requester's with d. The result is the requester if there is none and its own holder has no
-// newer account to close.
+// chooseVictim returns the account to close for d: the first to close of the holder that holds
+// most, among the holders that hold more than the requester's with d. If there is none it is that
+// of the requester's holder, and the requester itself if that has none either.
 func (b *Budget) chooseVictim(requester *Account, d demand) *Account {
 	byConnections := len(b.accounts)+d.connections > b.limits.Connections
-	newest := b.newestOfHolders(requester)
+	first := b.firstOfHolders(requester)
 	largest, most := requester.holder, weight(requester.holder, byConnections, d.bytes)
-	for h, a := range newest {
+	for h := range first {
 		w := weight(h, byConnections, 0)
 		tied := w == most && largest != requester.holder && h.name < largest.name
-		if a.holder != requester.holder && (w > most || tied) {
+		if h != requester.holder && (w > most || tied) {
 			largest, most = h, w
 		}
 	}
-	victim := newest[largest]
-	if victim == nil || largest == requester.holder && (victim.phase == Running || victim.number < requester.number) {
-		return requester
+	if victim := first[largest]; victim != nil {
+		return victim
 	}
-	return victim
+	return requester
 }
 
-// newestOfHolders returns, for each holder, the account to close first. It leaves out the
-// requester and the accounts with a request at a target.
-func (b *Budget) newestOfHolders(requester *Account) map[*holder]*Account {
-	newest := map[*holder]*Account{}
+// firstOfHolders returns, for each holder, the account to close first for the requester.
+func (b *Budget) firstOfHolders(requester *Account) map[*holder]*Account {
+	first := map[*holder]*Account{}
 	for _, a := range b.accounts {
-		if a == requester || a.atTargets > 0 {
+		if !a.mayCloseFor(requester) {
 			continue
 		}
-		if other := newest[a.holder]; other == nil || a.closesBefore(other) {
-			newest[a.holder] = a
+		if other := first[a.holder]; other == nil || a.closesBefore(other) {
+			first[a.holder] = a
 		}
 	}
-	return newest
+	return first
+}
+
+// mayCloseFor reports whether a may be closed to make room for the requester: not with a request
+// at a target, and for the same holder only if it is newer and has no complete request.
+func (a *Account) mayCloseFor(requester *Account) bool {
+	if a.atTargets > 0 || a == requester {
+		return false
+	}
+	return a.holder != requester.holder || a.number > requester.number && a.phase != Running
 }
 
 // weight returns what h holds, in connections or in bytes, including an additional demand.
