--- a/review/lab-3/client.go
+++ b/review/lab-3/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -70,18 +69,3 @@
 	raw, err := io.ReadAll(resp.Body)
 	return Answer{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err}
 }
-
-// resolve asks the directory of a machine which front addresses to use.
-func resolve(m *Machine) []string {
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get(fmt.Sprintf("http://%s/-/resolve?Name=%s&Region=gt-central&Zone=%s", m.directory(), host, zone))
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var answer struct{ Addresses []string }
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&answer) != nil {
-		return nil
-	}
-	return answer.Addresses
-}
--- a/review/lab-3/fleet.go
+++ b/review/lab-3/fleet.go
@@ -124,9 +124,8 @@
 }
 
 // front is the address for clients.
-func (m *Machine) front() string     { return fmt.Sprintf("%s:%d", m.ip, m.fleet.port+1) }
-func (m *Machine) readyURL() string  { return fmt.Sprintf("http://%s:%d/-/ready", m.ip, m.fleet.port+2) }
-func (m *Machine) directory() string { return fmt.Sprintf("%s:%d", m.ip, m.fleet.port) }
+func (m *Machine) front() string    { return fmt.Sprintf("%s:%d", m.ip, m.fleet.port+1) }
+func (m *Machine) readyURL() string { return fmt.Sprintf("http://%s:%d/-/ready", m.ip, m.fleet.port+2) }
 
 // address returns an address of the fleet's network that no machine has.
 func (f *Fleet) address() string {
