--- a/review/lab-3/case_encoding.go
+++ b/review/lab-3/case_encoding.go
@@ -15,8 +15,7 @@
 	encodingServers  = 4
 	encodingClients  = 8
 	encodingRequests = 150 // of each client
-	// The largest dose of garble in the site file: this share of the answers of at most 0.6 of the
-	// servers.
+	// The dose of garble in the site file: this share of the answers of half of the servers.
 	garbledServers = 2
 	garbledShare   = 0.05
 )
